--- a/cindertiller/adapter.py
+++ b/pipitledge/adapter.py
@@ -2,24 +2,20 @@
 
 from __future__ import annotations
 
-import json
 import sys
 import traceback
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
-from cindertiller import interface as api
-from cindertiller.policy import Policy
+from pipitledge import interface as api
+from pipitledge.policy import Policy
+from pipitledge.settings import REPORTS, STATES, parse_settings
 
 RESULTS = {
     "0": api.Result.OK, "255": api.Result.ERROR, "254": api.Result.FULL, "253": api.Result.TIMEOUT,
     "252": api.Result.CONNECT_FAILED, "251": api.Result.RESET, "250": api.Result.CANCELLED,
     "249": api.Result.MOOT,
 }
-REPEATS = {"free": api.Repeat.SAFE, "guarded": api.Repeat.KEYED, "single_shot": api.Repeat.UNSAFE}
-STATES = {"in_service": api.State.SERVING, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
-REPORTS = {"rif": "inflight", "q": "queued", "busy": "utilisation", "lat_ms": "latency_ms", "rate": "rate",
-           "fail_rate": "failure_rate"}
 LISTINGS = {listing.value: listing for listing in api.Listing}
 Fields = dict[str, str]
 
@@ -28,69 +24,6 @@
     """The input does not follow the protocol."""
 
 
-def parse_settings(text: str) -> api.Settings:
-    """Translate the options of a spawn; absent keys keep the defaults stated in Settings."""
-    raw: dict[str, Any] = json.loads(text)
-    allow, rules, family = raw.get("permissions", {}), raw.get("rules", {}), raw.get("specifics", {})
-    report = raw.get("report", {})
-    extras = {"x0": family.get("report_x0", ""), "x1": family.get("report_x1", "")}
-    free = [name for name, meaning in extras.items() if "slot" in meaning]
-    source = report.get("source", "none")
-    fields = (report.get("fields") or ()) if source != "none" else ()
-
-    def of_class(name: str, index: int, default: float) -> float:
-        values = family.get(name) or []
-        return values[index] if index < len(values) else default
-
-    classes = tuple(
-        api.JobClass(
-            deadline_ms=lane.get("deadline_ms", 10_000.0),
-            objective_ms=lane.get("objective_ms", lane.get("deadline_ms", 10_000.0)),
-            stretch=of_class("class_stretch", index, lane.get("aim_stretch", 0.0)),
-            late_share=lane.get("late_share", 0.0),
-            worth=lane.get("worth", 1.0),
-            repeat=REPEATS.get(lane.get("repeat", ""), api.Repeat.UNSAFE),
-            scope=api.Scope(lane.get("dedup_scope") or "cell"),
-            window_ms=lane.get("window_ms", 0.0),
-            kind=int(of_class("class_kind", index, -1)),
-            priority=of_class("class_priority", index, 0.0),
-        )
-        for index, lane in enumerate(raw.get("lanes", []))
-    )
-    tenants = tuple(api.Tenant(realm.get("share", 1.0), realm.get("quota_per_s", 0.0))
-                    for realm in raw.get("realms") or [])
-    return api.Settings(
-        classes=classes,
-        tenants=tenants or (api.Tenant(),),
-        kinds=max(1, len(raw.get("shapes") or [])),
-        zones=max(1, len(raw.get("zones") or [])),
-        zone=raw.get("zone", 0),
-        instances=raw.get("n_instances", 1),
-        number=raw.get("my_number", 0),
-        must_ask=raw.get("discovery") == "ask",
-        probes=bool(allow.get("probes")),
-        cancel=bool(allow.get("cancel")),
-        second_copies=bool(allow.get("second_copies")),
-        max_attempts=allow.get("max_attempts", 1),
-        retry_after=bool(allow.get("retry_after")),
-        max_retry_after_ms=allow.get("max_retry_after_ms", 0.0),
-        over_share_worth=raw.get("over_share_worth", 1.0),
-        worth_by_work=raw.get("value_by") == "work",
-        report_fields=tuple(REPORTS.get(name, name) for name in fields),
-        reports_with_answers=source == "answers",
-        free_slots_field=free[0] if free else "",
-        memory_counted="x1" in fields,
-        tells_start=bool(family.get("tells_start")),
-        progress_ms=family.get("progress_ms", 0.0),
-        resolution_ms=raw.get("resolution_ms", 1.0),
-        ask_every_ms=rules.get("ask_every_ms", 10_000.0),
-        cold_share=rules.get("cold_share", 0.1),
-        cold_ms=rules.get("cold_ms", 20_000.0),
-        overload_factor=rules.get("overload_factor", 2.0),
-        fall_ms=rules.get("fall_ms", 1_000.0),
-    )
-
-
 def _report(fields: Fields) -> dict[str, float] | None:
     text = fields.get("stats")
     if not text or text == "-":
--- /dev/null
+++ b/pipitledge/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 as state machines that are fed bytes and know no socket."""
--- a/cindertiller/policy.py
+++ b/pipitledge/policy.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
-from cindertiller.interface import (
+from pipitledge.interface import (
     Action, AttemptEnded, AttemptNote, AttemptRecord, ClientGone, Event, Fail, Held, JobArrived, JobRecord,
     Jobs, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope, Send, SetTimer, Settings,
     State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from cindertiller.interface import (
+from pipitledge.interface import (
     Action,
     AttemptEnded,
     Event,
@@ -20,7 +20,7 @@
     Worker,
     WorkersChanged,
 )
-from cindertiller.policy import Policy
+from pipitledge.policy import Policy
 
 SAFE = JobClass(deadline_ms=5_000, objective_ms=500, stretch=2.0, worth=1.0, repeat=Repeat.SAFE)
 UNSAFE = JobClass(deadline_ms=5_000, objective_ms=500, stretch=2.0, worth=1.0, repeat=Repeat.UNSAFE)
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from cindertiller import adapter
-from cindertiller.interface import Repeat, Scope
-from cindertiller.policy import Policy
+from pipitledge import adapter
+from pipitledge.interface import Repeat, Scope
+from pipitledge.policy import Policy
+from pipitledge.settings import parse_settings
 
 ROOT = pathlib.Path(__file__).parent.parent
 OPTIONS = {
@@ -50,7 +51,7 @@
 
 
 def test_settings_are_read_and_unknown_keys_ignored() -> None:
-    settings = adapter.parse_settings(json.dumps(OPTIONS))
+    settings = parse_settings(json.dumps(OPTIONS))
     assert settings.classes[0].repeat is Repeat.KEYED and settings.classes[0].scope is Scope.ZONE
     assert settings.classes[0].stretch == 2.0 and settings.classes[0].window_ms == 7500.0
     assert settings.report_fields == ("x0", "inflight") and settings.free_slots_field == "x0"
@@ -98,7 +99,7 @@
         "instance\ti=1\nbackends_changed\thow=full\tversion=2\trows_in=14\n" + fewer + more, 2)
     replies = set()
     for seed in ("1", "2", "3"):
-        ran = subprocess.run([sys.executable, "-m", "cindertiller.adapter"], input=text, capture_output=True,
+        ran = subprocess.run([sys.executable, "-m", "pipitledge.adapter"], input=text, capture_output=True,
                              text=True, check=True, cwd=ROOT, env={"PYTHONHASHSEED": seed})
         replies.add(ran.stdout)
     assert len(replies) == 1 and "transmit" in replies.pop()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -7,8 +7,8 @@
 import pytest
 from helpers import SAFE, UNSAFE, Driver, keyed, of, settings
 
-import cindertiller.policy as policy_module
-from cindertiller.interface import (
+import pipitledge.policy as policy_module
+from pipitledge.interface import (
     ClientGone,
     Fail,
     JobClass,
@@ -34,7 +34,7 @@
 
 
 def test_the_module_keeps_its_line_limits() -> None:
-    lines = (ROOT / "cindertiller" / "policy.py").read_text().splitlines()
+    lines = (ROOT / "pipitledge" / "policy.py").read_text().splitlines()
     assert len([line for line in lines if line.strip()]) <= 400
     assert max(map(len, lines)) <= 110
     assert "interface.py" in lines[0] + lines[1]
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -7,7 +7,7 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from cindertiller.interface import (
+from pipitledge.interface import (
     NEVER_RAN,
     AttemptEnded,
     ClientGone,
