--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -1,14 +1,89 @@
-"""Start one real node from the configuration that BALANCER_CONFIG names."""
+"""Start one real node: wire the parts together and run until SIGTERM."""
 
 from __future__ import annotations
 
+import contextlib
+import gc
+import os
+import signal
+import socket
 import sys
+import traceback
+
+from pipitledge.net.scheduler import Scheduler
+from pipitledge.net.timers import Clock, Timers
+from pipitledge.node import config
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.dispatch import Dispatch
+from pipitledge.node.front import SPARE, Front
+from pipitledge.node.host_group import HostGroup
+from pipitledge.node.server_link import Pool
+from pipitledge.policy import Policy
+
+# Descriptors: standard streams, signals, listener, watch and its successor, and some that libraries open.
+BASE = 24
+LINK_SHARE = 0.25  # of the rest, for server links
 
 
 def main() -> int:
-    """Say plainly that there is nothing to serve with yet."""
-    print("pipitledge: the decision module is here, the node that serves it is not built yet", flush=True)
-    return 1
+    """Run one node."""
+    counters = Counters()
+    log = Log(counters)
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as fault:
+        log("config", error=fault)
+        return 2
+    clock = Clock()
+    timers = Timers(clock.now)
+
+    def crashed(fault: BaseException) -> None:
+        counters.add("fault.task")
+        log("fault", where="task", trace="".join(traceback.format_exception(fault)))
+
+    scheduler = Scheduler(timers, crashed)
+    policy = Policy(told.settings, told.seed)
+    dispatch = Dispatch(clock, timers, policy, counters, log)
+    spare = max(16, told.sockets - BASE - SPARE)
+    links = max(4, int(spare * LINK_SHARE))
+    pool = Pool(scheduler, clock, dispatch, counters, log, told.dial_timeout_ms, told.idle_ms, links)
+    group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names)
+    dispatch.links, dispatch.watch = pool, group.watch
+    scheduler.after_round = dispatch.round
+    group.start(told.known)
+    front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen,
+                  spare - links)
+    _signals(scheduler, front, counters, log)
+    log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
+        clients=front.most, links=links)
+    gc.collect()
+    gc.freeze()  # what is there by now stays: later collections need not look at it
+    scheduler.run()
+    log("stopped", open=dispatch.open, counters=counters.text())
+    return 0
+
+
+def _signals(scheduler: Scheduler, front: Front, counters: Counters, log: Log) -> None:
+    """Let signals wake the poll: a handler alone would run, and the poll would go back to waiting."""
+    ours, wakes = socket.socketpair()
+    ours.setblocking(False)
+    wakes.setblocking(False)
+    signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
+        signal.signal(number, lambda *_: None)
+
+    def listen() -> None:
+        while True:
+            scheduler.wait(fd=ours.fileno())
+            with contextlib.suppress(BlockingIOError):
+                for number in ours.recv(64):
+                    log("signal", name=signal.Signals(number).name)
+                    if number == signal.SIGUSR1:
+                        log("counters", open=front.dispatch.open, counters=counters.text())
+                    elif number in (signal.SIGTERM, signal.SIGINT):
+                        front.stop()
+
+    scheduler.spawn(listen)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/pipitledge/net/stream.py
@@ -0,0 +1,137 @@
+"""A connected socket with its receive buffer and gathered writes; the only place that reads and writes."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Sequence
+
+from pipitledge.net.scheduler import WRITE, Scheduler, Wake
+
+Part = bytes | memoryview
+AT_ONCE = 64  # parts handed to one sendmsg; far under the system's limit of 1,024
+
+
+class ReceiveBuffer:
+    """Bytes received and not yet consumed: data[start:end]. Parsers read them in place."""
+
+    def __init__(self, size: int = 2048, most: int = 96 * 1024) -> None:
+        """Start small and grow up to the most."""
+        self.data = bytearray(size)
+        self.start = self.end = 0
+        self.most = most
+
+    def __len__(self) -> int:
+        """Count the bytes that wait."""
+        return self.end - self.start
+
+    def room(self) -> memoryview:
+        """Return the free space at the end, empty if the buffer is full; earlier offsets lapse."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        if self.end == len(self.data) and self.start:
+            del self.data[:self.start]
+            self.end, self.start = self.end - self.start, 0
+            self.data.extend(bytes(max(0, 2048 - len(self.data))))
+        if self.end == len(self.data):
+            self.data.extend(bytes(min(len(self.data), self.most - len(self.data))))
+        return memoryview(self.data)[self.end:]
+
+    def put(self, data: bytes) -> None:
+        """Append bytes that did not come by recv_into."""
+        while data:
+            with self.room() as room:
+                size = min(len(room), len(data))
+                room[:size] = data[:size]
+            if not size:
+                raise OverflowError("receive buffer full")
+            self.end += size
+            data = data[size:]
+
+    def consume(self, size: int) -> None:
+        """Mark bytes at the front as done."""
+        self.start += size
+
+
+class Stream:
+    """A non-blocking socket of one task."""
+
+    def __init__(self, scheduler: Scheduler, sock: socket.socket,
+                 buffer: ReceiveBuffer | None = None) -> None:
+        """Take over a socket."""
+        self.scheduler, self.sock = scheduler, sock
+        self.buffer = buffer or ReceiveBuffer()
+        sock.setblocking(False)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def dial(self, address: tuple[str, int], until_ms: float) -> bool:
+        """Connect; False if time ran out. A refusal is an OSError."""
+        with contextlib.suppress(BlockingIOError):
+            self.sock.connect(address)
+            return True
+        if self.scheduler.wait(until_ms, self.sock.fileno(), WRITE) is not Wake.READY:
+            return False
+        if error := self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise OSError(error, "connect failed")
+        return True
+
+    def read(self) -> int:
+        """Read once without waiting: bytes read, 0 at the end, -1 if there is nothing now."""
+        with self.buffer.room() as room:
+            if not room:
+                raise OverflowError("receive buffer full")
+            try:
+                size = self.sock.recv_into(room)
+            except BlockingIOError:
+                return -1
+        self.buffer.end += size
+        return size
+
+    def readable(self, until_ms: float) -> Wake:
+        """Wait until there is something to read, a notice, or time is up."""
+        return self.scheduler.wait(until_ms, self.sock.fileno())
+
+    def write(self, parts: Sequence[Part], until_ms: float) -> bool:
+        """Write all parts, gathered; False if time ran out first. A notice does not end it."""
+        left = [memoryview(part) for part in parts if len(part)]
+        first = 0
+        while first < len(left):
+            try:
+                sent = self.sock.sendmsg(left[first:first + AT_ONCE])
+            except BlockingIOError:
+                if self.scheduler.wait(until_ms, self.sock.fileno(), WRITE) is Wake.TIMEOUT:
+                    return False
+                continue
+            while first < len(left) and sent >= len(left[first]):
+                sent -= len(left[first])
+                first += 1
+            if sent:  # a part went out in part: the rest of it is next
+                left[first] = left[first][sent:]
+        return True
+
+    def is_quiet(self) -> bool:
+        """Whether an idle connection is still open and nothing has come on it."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return not len(self.buffer)
+        except OSError:
+            return False
+        return False
+
+    def linger(self, until_ms: float) -> None:
+        """Send the end, then drop what still comes: closing on unread bytes would reset the answer away."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_WR)
+            while True:
+                self.buffer.start = self.buffer.end
+                size = self.read()
+                if size == 0 or (size < 0 and self.readable(until_ms) is Wake.TIMEOUT):
+                    return
+
+    def close(self) -> None:
+        """Close the socket; again does nothing."""
+        if self.sock.fileno() >= 0:
+            self.scheduler.forget(self.sock.fileno())
+            self.sock.close()
--- /dev/null
+++ b/pipitledge/node/config.py
@@ -0,0 +1,96 @@
+"""What a node is told at its start: BALANCER_CONFIG, or the single variables where a key is missing."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pipitledge.interface import Settings
+from pipitledge.settings import settings_from
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text says why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Names:
+    """Names on the sockets, by their index in the settings."""
+
+    classes: Mapping[bytes, int]
+    tenants: Mapping[bytes, int]
+    zones: Mapping[str, int]
+    kinds: Mapping[str, int]
+    default_zone: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """One node's configuration."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    memory_mb: int
+    known: Mapping[str, Any]
+    settings: Settings
+    names: Names
+    dial_timeout_ms: float
+    idle_ms: float  # a worker's machine closes an idle connection after this
+
+
+def address(text: str) -> Address:
+    """Read host:port."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def _names(raw: Any) -> dict[str, int]:
+    named = (entry.get("name", "") if isinstance(entry, dict) else str(entry) for entry in raw or [])
+    return {name: index for index, name in enumerate(named)}
+
+
+def _bytes(names: Mapping[str, int]) -> dict[bytes, int]:
+    return {name.encode(): index for name, index in names.items()}
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration; a ConfigError names what is wrong with it."""
+    raw: dict[str, Any] = {}
+    try:
+        if path := environ.get("BALANCER_CONFIG"):
+            with open(path, encoding="utf-8") as file:
+                raw = json.load(file)
+        return _config(raw, environ)
+    except (OSError, ValueError, TypeError, KeyError, AttributeError) as fault:
+        raise ConfigError(f"{type(fault).__name__}: {fault}") from fault
+
+
+def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    def told(key: str) -> str:
+        value = raw.get(key) or environ.get("BALANCER_" + key.upper())
+        if not value:
+            raise ConfigError(f"{key} is missing")
+        return str(value)
+
+    stated, limits = raw.get("settings") or {}, raw.get("limits") or {}
+    allow = stated.get("permissions") or {}
+    names = Names(
+        classes=_bytes(_names(stated.get("lanes"))), tenants=_bytes(_names(stated.get("realms"))),
+        zones=_names(stated.get("zones")), kinds=_names(stated.get("shapes")),
+        default_zone=int(stated.get("zone", 0)))
+    return Config(
+        name=told("name"), listen=address(told("listen")), discovery=address(told("discovery")),
+        seed=int(str(raw.get("seed", "0")), 16), sockets=int(limits.get("sockets", 1024)),
+        memory_mb=int(limits.get("memory_mb", 192)), known=raw.get("known") or {},
+        settings=settings_from(stated), names=names,
+        dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
+        idle_ms=float(allow.get("conn_idle_ms", 15_000.0)))
--- /dev/null
+++ b/pipitledge/node/dispatch.py
@@ -0,0 +1,261 @@
+"""Queries and executions between a front and the server links; the only caller of the module.
+
+Knows no HTTP: a front hands in queries and gets answers, whatever protocol it speaks. Events gather during a
+round of the scheduler, are handed to the module at once, and its actions are carried out in order.
+"""
+
+from __future__ import annotations
+
+import traceback
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from pipitledge import interface as api
+from pipitledge.net.timers import Clock, Timer, Timers
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.endings import RESULTS, Ending
+from pipitledge.policy import Policy
+
+# An answer has to be out before the client gives up: executions are given up this much before its patience
+# ends, and what the module should have lost track of is failed this much after that.
+EARLY_MS, EARLY_SHARE, OVERDUE_MS = 10.0, 0.1, 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """A worker's result for this query."""
+
+    result: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Throttle:
+    """A refusal: trying again is harmless, and better after this time (0: no advice)."""
+
+    retry_after_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """Failed, with no promise about its effect."""
+
+    reason: str
+
+
+Answer = Served | Throttle | Failure
+
+
+@dataclass(slots=True, eq=False)
+class Query:
+    """One request of a client, until it is answered and its last execution has ended."""
+
+    arrival: api.JobArrived
+    passage: Any  # what the server link passes on; opaque here
+    reply: Callable[[Answer], None]
+    deadline_ms: float = 0.0
+    sends: int = 0  # executions so far, MOOT ones included: their numbers follow the module's sends
+    out: dict[int, Execution] = field(default_factory=dict)
+    open: bool = True
+    overdue: Timer | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """One attempt of a query at a worker. It ends exactly once."""
+
+    query: Query
+    number: int
+    worker: str
+    sent_ms: float
+    deadline_ms: float
+    ended: bool = False
+    abandoned: bool = False
+    wake: Callable[[], None] | None = None  # its server link's
+
+
+class Links(Protocol):
+    """The side that carries out executions and probes."""
+
+    def start(self, execution: Execution) -> None:
+        """Carry it out; its ending is told to the dispatch."""
+
+    def probe(self, worker: str) -> None:
+        """Ask a worker how it is; the result is told to the dispatch."""
+
+
+class Dispatch:
+    """Feeds the module and does what it says."""
+
+    def __init__(self, clock: Clock, timers: Timers, policy: Policy, counters: Counters, log: Log) -> None:
+        """Wire up; links and watch are set before the first round."""
+        self.clock, self.timers, self.policy, self.counters, self.log = clock, timers, policy, counters, log
+        self.links: Links
+        self.watch: Callable[[], None] = lambda: None
+        self.events: list[api.Event] = []
+        self.queries: dict[str, Query] = {}
+        self.open = 0
+        self.idle: Callable[[], None] = lambda: None  # told when a query was answered and none is left
+        self._over: list[Query] = []
+        self._carry: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self._refuse, api.Fail: self._fail,
+            api.Probe: lambda action: self.links.probe(action.worker),
+            api.Subscribe: lambda _: self.watch(), api.SetTimer: self._set_timer,
+            api.Log: lambda action: self.log("module", text=action.text)}
+
+    # ---- from the front
+
+    def take(self, arrival: api.JobArrived, passage: Any, reply: Callable[[Answer], None]) -> Query | None:
+        """Take a query; None if one of this id is still here, as the module would ignore the second."""
+        if arrival.job in self.queries:
+            return None
+        query = Query(arrival, passage, reply)
+        early = min(EARLY_MS, EARLY_SHARE * arrival.patience_ms)
+        query.deadline_ms = self.clock.now() + arrival.patience_ms - early
+        query.overdue = self.timers.at(query.deadline_ms + OVERDUE_MS, lambda: self._overdue(query))
+        self.queries[arrival.job] = query
+        self.open += 1
+        self.counters.add("query.taken")
+        self.events.append(arrival)
+        return query
+
+    def client_gone(self, query: Query) -> None:
+        """End the query, not its executions."""
+        if query.open:
+            self.counters.add("query.client-left")
+            self._close(query)
+            self.events.append(api.ClientGone(query.arrival.job))
+
+    def _overdue(self, query: Query) -> None:
+        """Fail a query that the module has not ended in time; it guards against any loss on the way there."""
+        if query.open:
+            self.log("overdue", query=query.arrival.job, sends=query.sends, out=len(query.out))
+            self.counters.add("query.overdue")
+            self._answer(query, Failure("overdue"))
+            self.events.append(api.ClientGone(query.arrival.job))
+
+    # ---- from server links and the host group
+
+    def ended(self, execution: Execution, ending: Ending, report: Mapping[str, float] | None = None,
+              result: bytes = b"") -> None:
+        """Take the one ending of an execution; the first that served answers the query."""
+        if execution.ended:
+            return
+        execution.ended, query = True, execution.query
+        query.out.pop(execution.number, None)
+        self.counters.add(f"execution.{ending.value}")
+        if ending is Ending.SERVED and query.open:
+            self._answer(query, Served(result))
+        elif not query.open and not query.out:
+            self._over.append(query)
+        self.events.append(api.AttemptEnded(
+            query.arrival.job, execution.number, execution.worker, RESULTS[ending],
+            self.clock.now() - execution.sent_ms, not query.open, report))
+
+    def noted(self, execution: Execution, fraction: float) -> None:
+        """An execution started, or came so far."""
+        if not execution.ended:
+            self.events.append(api.AttemptNote(execution.query.arrival.job, execution.number,
+                                               execution.worker, fraction))
+
+    def probed(self, worker: str, ending: Ending, elapsed_ms: float,
+               report: Mapping[str, float] | None = None) -> None:
+        """Take the result of a probe."""
+        self.counters.add(f"probe.{ending.value}")
+        self.events.append(api.ProbeEnded(worker, RESULTS[ending], elapsed_ms, report))
+
+    def listed(self, change: api.WorkersChanged) -> None:
+        """Take news of the host group."""
+        self.counters.add(f"list.{change.listing.value}")
+        self.events.append(change)
+
+    # ---- the round
+
+    def round(self) -> None:
+        """Hand the gathered events to the module and carry out what it says, until nothing is left."""
+        while self.events:
+            events, self.events = self.events, []
+            try:
+                actions = self.policy.handle(self.clock.now(), events)
+            except Exception:
+                self._module_fault(events)
+                actions = list(self.policy.actions)
+            for action in actions:
+                try:
+                    self._carry[type(action)](action)
+                except Exception:
+                    self.counters.add("fault.action")
+                    self.log("fault", action=action, trace=traceback.format_exc())
+        # Only now: within the round the module may still have named a query that had just ended.
+        for query in self._over:
+            if not query.out:
+                self.queries.pop(query.arrival.job, None)
+        self._over.clear()
+
+    def _module_fault(self, events: list[api.Event]) -> None:
+        """Lose no query with the module's exception: those it may not have seen are failed now."""
+        self.counters.add("fault.module")
+        self.log("fault", where="module", trace=traceback.format_exc())
+        for event in events:
+            if isinstance(event, (api.JobArrived, api.AttemptEnded)):
+                query = self.queries.get(event.job)
+                if query is not None and query.open and not query.out:
+                    self._answer(query, Failure("module fault"))
+                    self.events.append(api.ClientGone(event.job))
+
+    # ---- the module's actions
+
+    def _send(self, action: api.Send) -> None:
+        query, now = self.queries.get(action.job), self.clock.now()
+        if query is None:  # can't be while queries outlive the round; the module is told even so
+            self.log("fault", where="send", query=action.job)
+            self.events.append(api.AttemptEnded(action.job, 0, action.worker, api.Result.MOOT, 0.0, True))
+            return
+        deadline = min(query.deadline_ms, now + action.timeout_ms) if action.timeout_ms else query.deadline_ms
+        execution = Execution(query, query.sends, action.worker, now, deadline)
+        query.sends += 1
+        query.out[execution.number] = execution
+        if not query.open or now >= deadline or query.sends > self.policy.settings.max_attempts:
+            self.ended(execution, Ending.NEVER_SENT)
+        else:
+            self.counters.add("execution.started")
+            self.links.start(execution)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        query = self.queries.get(action.job)
+        if query is not None and (execution := query.out.get(action.attempt)) is not None:
+            execution.abandoned = True
+            if execution.wake is not None:
+                execution.wake()
+
+    def _refuse(self, action: api.Refuse) -> None:
+        self._final(action.job, Throttle(action.retry_after_ms))
+
+    def _fail(self, action: api.Fail) -> None:
+        self._final(action.job, Failure("failed"))
+
+    def _final(self, job: str, answer: Answer) -> None:
+        query = self.queries.get(job)
+        if query is not None and query.open:
+            self._answer(query, answer)
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self.timers.at(self.policy.now + action.delay_ms,
+                       lambda: self.events.append(api.TimerFired(action.token)))
+
+    # ---- answers
+
+    def _answer(self, query: Query, answer: Answer) -> None:
+        self.counters.add(f"answer.{type(answer).__name__.lower()}")
+        self._close(query)
+        query.reply(answer)
+
+    def _close(self, query: Query) -> None:
+        query.open = False
+        self.open -= 1
+        if query.overdue is not None:
+            query.overdue.cancel()
+        if not query.out:
+            self._over.append(query)
+        if not self.open:
+            self.idle()
--- /dev/null
+++ b/pipitledge/node/endings.py
@@ -0,0 +1,65 @@
+"""Every way in which a connection, or an execution on one, can end; and what the module is told of it."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from pipitledge.interface import Result
+
+
+class Ending(Enum):
+    """One value for each way to end; the text is what logs and counters say."""
+
+    # executions at a worker
+    SERVED = "served"
+    WORKER_FAILED = "worker-failed"  # a line 'failed', a 500, or any status we don't know
+    HANDED_BACK = "handed-back"  # a line 'returned', or 503 or 504 with Not-Started
+    JOB_LOST = "job-lost"  # a line 'lost'
+    NO_ADDRESS = "no-address"
+    NO_SOCKET = "no-socket"  # no descriptor left for it
+    DIAL_REFUSED = "dial-refused"
+    DIAL_TIMEOUT = "dial-timeout"
+    BROKEN_BEFORE_SENT = "broken-before-sent"  # before the request's last byte was written
+    BROKEN_AFTER_SENT = "broken-after-sent"
+    BROKEN_ANSWER = "broken-answer"  # not HTTP, not JSON, or ended without a last line
+    OUT_OF_TIME = "out-of-time"
+    CALLED_OFF = "called-off"
+    NEVER_SENT = "never-sent"  # its query was over or had no attempt left
+    OUR_FAULT = "our-fault"  # an exception of ours
+    # idle links, probes
+    IDLE_CLOSED = "idle-closed"
+    STALE = "stale"
+    # clients
+    CLIENT_LEFT = "client-left"
+    CLIENT_ASKED = "client-asked"  # Connection: close
+    CLIENT_SLOW = "client-slow"
+    BAD_REQUEST = "bad-request"
+    SHED = "shed"
+    STOPPING = "stopping"
+    # the watch on discovery
+    WATCH_REFUSED = "watch-refused"
+    WATCH_ENDED = "watch-ended"
+    WATCH_SILENT = "watch-silent"
+    WATCH_BROKEN = "watch-broken"
+    WATCH_REPLACED = "watch-replaced"
+
+
+# The one place where an execution's ending becomes the module's outcome. FULL, CONNECT_FAILED and MOOT
+# promise that the job never ran, so only endings before the request's last byte may map to them.
+RESULTS = {
+    Ending.SERVED: Result.OK,
+    Ending.WORKER_FAILED: Result.ERROR,
+    Ending.HANDED_BACK: Result.FULL,
+    Ending.JOB_LOST: Result.RESET,
+    Ending.NO_ADDRESS: Result.CONNECT_FAILED,
+    Ending.NO_SOCKET: Result.CONNECT_FAILED,
+    Ending.DIAL_REFUSED: Result.CONNECT_FAILED,
+    Ending.DIAL_TIMEOUT: Result.CONNECT_FAILED,
+    Ending.BROKEN_BEFORE_SENT: Result.CONNECT_FAILED,
+    Ending.BROKEN_AFTER_SENT: Result.RESET,
+    Ending.BROKEN_ANSWER: Result.RESET,
+    Ending.OUT_OF_TIME: Result.TIMEOUT,
+    Ending.CALLED_OFF: Result.CANCELLED,
+    Ending.NEVER_SENT: Result.MOOT,
+    Ending.OUR_FAULT: Result.RESET,
+}
--- /dev/null
+++ b/pipitledge/node/front.py
@@ -0,0 +1,317 @@
+"""The HTTP front: clients' connections, each with its task, and the listener that takes them in.
+
+Kept apart from the decisions, so that a front for another protocol can hand its queries to the same dispatch.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import math
+import socket
+import traceback
+from collections.abc import Sequence
+
+from pipitledge.http1.client_side import ClientSide, Request, Stage
+from pipitledge.http1.heads import BadMessage
+from pipitledge.interface import JobArrived, Settings
+from pipitledge.net.scheduler import Scheduler, Wake
+from pipitledge.net.stream import Part, Stream
+from pipitledge.net.timers import Clock
+from pipitledge.node.config import Address, Names
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.dispatch import Answer, Dispatch, Failure, Query, Served
+from pipitledge.node.endings import Ending
+from pipitledge.node.server_link import Passage
+
+IDLE_MS = 120_000.0  # a client's connection may stand idle for so long
+REQUEST_MS = 10_000.0  # from a request's first byte to its last
+WRITE_MS, LINGER_MS = 10_000.0, 500.0
+STOP_MS = 500.0  # after SIGTERM connections still come for 0.2 to 0.4 s
+ACCEPT_AGAIN_MS = 20.0  # without a descriptor to spare
+SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
+BUSY_RETRY_S = b"1"
+MAX_PATIENCE_MS = 600_000.0
+
+
+def read_arrival(request: Request, names: Names, settings: Settings) -> JobArrived:
+    """Read a job from its request; BadMessage where it is not one. Defaults: see the README."""
+    name = request.target.split(b"?", 1)[0].split(b"/")[1] if request.target.startswith(b"/") else b""
+    job_class = names.classes.get(name)
+    if job_class is None:
+        raise BadMessage(404, "no such class")
+    if request.method != b"POST":
+        raise BadMessage(405, "jobs come by POST")
+    job = request.get(b"request-id").decode("latin-1")
+    if not job or len(job) > 256:
+        raise BadMessage(400, "Request-Id is missing or too long")
+    patience = settings.classes[job_class].deadline_ms
+    if stated := request.get(b"request-timeout-ms"):
+        patience = _number(stated, "Request-Timeout-Ms")
+        if not 0 < patience <= MAX_PATIENCE_MS:
+            raise BadMessage(400, "Request-Timeout-Ms out of range")
+    tenant = 0
+    if told := request.get(b"tenant"):
+        if told not in names.tenants and names.tenants:
+            raise BadMessage(400, "no such tenant")
+        tenant = names.tenants.get(told, 0)
+    info = {}
+    for pair in request.get(b"request-info").split(b","):
+        key, _, value = pair.strip().partition(b"=")
+        if key in (b"slots", b"memory", b"hint"):
+            info[key] = _number(value, "Request-Info")
+    slots = info.get(b"slots", 1.0)
+    if not 0 <= slots <= 1_024:
+        raise BadMessage(400, "slots out of range")
+    key = b""
+    for cookie in request.get(b"cookie").split(b";"):
+        if cookie.strip().startswith(b"k="):
+            key = cookie.strip()[2:]
+    return JobArrived(job, job_class, tenant, patience, slots, info.get(b"memory", 0.0),
+                      info.get(b"hint", 0.0), key.decode("latin-1"), request.get(b"client-retry") == b"1")
+
+
+def _number(text: bytes, what: str) -> float:
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise BadMessage(400, f"bad {what}")
+    return value
+
+
+def answer_parts(side: ClientSide, answer: Answer, close: bool) -> list[bytes]:
+    """Put an answer of the dispatch into HTTP."""
+    if isinstance(answer, Served):
+        return side.answer(200, answer.result, close=close)
+    if isinstance(answer, Failure):
+        return side.answer(502, answer.reason.encode(), close=close)
+    advice = [b"Retry-After: %.3f" % (answer.retry_after_ms / 1000.0)] if answer.retry_after_ms > 0 else []
+    return side.answer(503, b"throttled", advice, close)
+
+
+class ClientLink:
+    """One client's connection; its task reads a request, hands in the query and writes the answer."""
+
+    def __init__(self, front: Front, sock: socket.socket, over_budget: bool) -> None:
+        """Take over an accepted socket."""
+        self.front, self.over_budget = front, over_budget
+        self.stream = Stream(front.scheduler, sock)
+        self.side = ClientSide()
+        self.query: Query | None = None
+        self.answer: Answer | None = None
+        self.leave: Ending | None = None  # set by the front: close if nothing has come
+        self.task = front.scheduler.spawn(self.run)
+
+    def run(self) -> None:
+        """Serve the connection until one side ends it."""
+        ending = Ending.OUR_FAULT
+        try:
+            ending = self._serve()
+        except OSError:
+            ending = Ending.CLIENT_LEFT
+        except Exception:
+            self.front.fault()
+            with contextlib.suppress(OSError, AssertionError):
+                if self.side.stage is Stage.TAKEN:
+                    self._write(self.side.answer(500, b"internal error", close=True))
+        finally:
+            if self.query is not None:
+                self.front.dispatch.client_gone(self.query)
+            if ending not in (Ending.CLIENT_LEFT, Ending.OUR_FAULT):
+                self.stream.linger(self.front.clock.now() + LINGER_MS)
+            self.stream.close()
+            self.front.closed(self, ending)
+
+    def _serve(self) -> Ending:
+        while True:
+            try:
+                request, ending = self._request()
+                if request is None:
+                    return ending
+                parts = self._take(request)
+            except BadMessage as fault:
+                self.front.counters.add(f"answer.bad-request.{fault.status}")
+                self.front.log("bad-request", status=fault.status, why=fault.reason)
+                # Framing is only sure after a whole request: there the connection may stay open.
+                parts = self.side.answer(fault.status, fault.reason.encode(), close=self._closes())
+                if self.side.stage is Stage.CLOSED:
+                    self._write(parts)
+                    return Ending.BAD_REQUEST
+            if parts is None:
+                return Ending.CLIENT_LEFT
+            if not self._write(parts):
+                return Ending.CLIENT_SLOW
+            if self.side.stage is Stage.CLOSED:
+                return Ending.STOPPING if self._closes() else Ending.CLIENT_ASKED
+
+    def _closes(self) -> bool:
+        return self.front.stopping or self.over_budget
+
+    def _write(self, parts: Sequence[Part]) -> bool:
+        return self.stream.write(parts, self.front.clock.now() + WRITE_MS)
+
+    def _request(self) -> tuple[Request | None, Ending]:
+        """Read the next request, or say how the connection ended."""
+        stream, front = self.stream, self.front
+        until, idle = front.clock.now() + IDLE_MS, True
+        while True:
+            request = self.side.receive(stream.buffer)
+            if request is not None:
+                return request, Ending.CLIENT_ASKED
+            if self.side.wants_continue:
+                self.side.wants_continue = False
+                self._write([b"HTTP/1.1 100 Continue\r\n\r\n"])
+            if idle and self.side.stage is not Stage.IDLE:
+                idle, until = False, front.clock.now() + REQUEST_MS
+            if self.side.stage is Stage.IDLE:
+                if self.leave is not None and stream.is_quiet():
+                    return None, self.leave
+                front.idle[self] = None
+            why = stream.readable(until)
+            front.idle.pop(self, None)
+            if why is Wake.TIMEOUT:
+                if idle:
+                    return None, Ending.IDLE_CLOSED
+                self.side.reject()
+                raise BadMessage(408, "request too slow")
+            if why is Wake.READY:
+                try:
+                    if stream.read() == 0:
+                        return None, Ending.CLIENT_LEFT
+                except OverflowError:
+                    self.side.reject()
+                    raise BadMessage(413, "request too long") from None
+
+    def _take(self, request: Request) -> list[bytes] | None:
+        """Answer a request; None if the client left before its answer."""
+        front = self.front
+        if request.target == b"/-/ready" and request.method == b"GET":
+            return self.side.answer(503 if front.stopping else 200, b"", close=front.stopping)
+        arrival = read_arrival(request, front.names, front.settings)
+        if self.over_budget:
+            front.counters.add("answer.over-budget")
+            return self.side.answer(503, b"no room", [b"Retry-After: " + BUSY_RETRY_S], close=True)
+        passage = Passage(request.method, request.target, request.get(b"host"), request.get(b"request-id"),
+                          request.get(b"idempotency-key"), request.body)
+        self.answer = None
+        self.query = front.dispatch.take(arrival, passage, self._reply)
+        if self.query is None:
+            raise BadMessage(409, "Request-Id is in use")
+        reads = True
+        while self.answer is None:
+            fd = self.stream.sock.fileno() if reads else -1
+            why = front.scheduler.wait(self.query.deadline_ms + WRITE_MS, fd)
+            if why is Wake.TIMEOUT:  # the dispatch answers long before this
+                raise RuntimeError("query without an answer")
+            if why is Wake.READY and self.answer is None:
+                try:
+                    if self.stream.read() == 0:
+                        return None
+                except OverflowError:
+                    reads = False  # it sends more out of turn than we keep: look at it after the answer
+        self.query, answer = None, self.answer
+        return answer_parts(self.side, answer, self._closes())
+
+    def _reply(self, answer: Answer) -> None:
+        self.answer = answer
+        self.task.wake()
+
+
+class Front:
+    """Listens, keeps the clients' connections within the budget, and stops in order."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
+                 names: Names, settings: Settings, listen: Address, most: int) -> None:
+        """Open the listening socket; at most `most` clients are served, a few more are turned away."""
+        self.scheduler, self.clock, self.dispatch = scheduler, clock, dispatch
+        self.counters, self.log, self.names, self.settings = counters, log, names, settings
+        self.most = most
+        self.links: set[ClientLink] = set()
+        self.idle: dict[ClientLink, None] = {}  # longest idle first
+        self.stopping = self.closing = False
+        self.stopped: bool = False
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(listen)
+        self.listener.listen(1024)
+        self.listener.setblocking(False)
+        self.accepting = scheduler.spawn(self._accept)
+
+    def _accept(self) -> None:
+        until = math.inf
+        while not self.closing:
+            fd = self.listener.fileno() if until == math.inf else -1
+            self.scheduler.wait(until, fd)
+            until = math.inf if self._accept_all() else self.clock.now() + ACCEPT_AGAIN_MS
+        self._accept_all()  # what the system has accepted for us is ours to answer
+        self.scheduler.forget(self.listener.fileno())
+        self.listener.close()
+        for link in list(self.idle):
+            self._close_idle(link, Ending.STOPPING)
+        self._check_stopped()
+
+    def _accept_all(self) -> bool:
+        """Accept all that wait; False if there is no room for more just now."""
+        while True:
+            over = len(self.links) >= self.most
+            if over and self._shed():
+                over = False
+            if len(self.links) >= self.most + SPARE:
+                return False
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.counters.add("front.no-descriptor")
+                    self.log("no-descriptor", clients=len(self.links), error=fault.errno)
+                    self._shed()
+                    return False
+                continue  # the client was gone before we took it
+            self.counters.add("client.accepted")
+            link = ClientLink(self, sock, over)
+            if self.closing:
+                link.leave = Ending.STOPPING
+            self.links.add(link)
+
+    def _shed(self) -> bool:
+        """Close the client's connection that is idle longest."""
+        link = next(iter(self.idle), None)
+        if link is not None:
+            self._close_idle(link, Ending.SHED)
+        return link is not None
+
+    def _close_idle(self, link: ClientLink, why: Ending) -> None:
+        self.idle.pop(link, None)
+        link.leave = why
+        link.task.wake()
+
+    def closed(self, link: ClientLink, ending: Ending) -> None:
+        """Forget a connection that is closed."""
+        self.links.discard(link)
+        self.idle.pop(link, None)
+        self.counters.add(f"client.{ending.value}")
+        self._check_stopped()
+
+    def fault(self) -> None:
+        """Log an exception of ours."""
+        self.counters.add("fault.front")
+        self.log("fault", where="front", trace=traceback.format_exc())
+
+    def stop(self) -> None:
+        """SIGTERM: accept a little longer, answer all that is held, then close what is idle."""
+        if not self.stopping:
+            self.stopping = True
+            self.scheduler.timers.at(self.clock.now() + STOP_MS, self._close)
+
+    def _close(self) -> None:
+        self.closing = True
+        self.accepting.wake()
+
+    def _check_stopped(self) -> None:
+        if self.closing and self.listener.fileno() < 0 and not self.links:
+            self.stopped = True
+            self.scheduler.stop()
--- /dev/null
+++ b/pipitledge/node/host_group.py
@@ -0,0 +1,142 @@
+"""The host group: discovery's list of workers, followed by a watch whenever the module asks for one."""
+
+from __future__ import annotations
+
+import json
+import socket
+import traceback
+from collections.abc import Mapping
+from typing import Any
+
+from pipitledge.http1.heads import BadMessage
+from pipitledge.http1.worker_side import WorkerSide, request_parts
+from pipitledge.interface import Listing, State, Worker, WorkersChanged
+from pipitledge.net.scheduler import Scheduler, Wake
+from pipitledge.net.stream import ReceiveBuffer, Stream
+from pipitledge.net.timers import Clock
+from pipitledge.node.config import Address, ConfigError, Names, address
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.dispatch import Dispatch
+from pipitledge.node.endings import Ending
+from pipitledge.node.server_link import Pool
+from pipitledge.settings import STATES
+
+DIAL_MS = 1_000.0
+SILENT_MS = 6_000.0  # discovery writes an empty line every 2 s: three missed and the watch is dead
+MAX_LINE = 4 * 1024 * 1024
+
+
+class BadRow(Exception):
+    """An entry of the list can't be read."""
+
+
+def read_row(raw: Any, names: Names) -> tuple[Worker, Address]:
+    """Read one entry. A zone or kind we have no name for counts as the first, as its worker does run."""
+    try:
+        worker = Worker(
+            str(raw["uid"]), STATES[raw.get("state", "in_service")],
+            names.zones.get(raw.get("az", ""), names.default_zone), names.kinds.get(raw.get("model", ""), 0),
+            int(raw.get("pod_group", 0)), float(raw.get("capacity_hint", 1.0)),
+            float(raw.get("boot_ms", 0.0)))
+        gone = worker.state is State.GONE and not raw.get("endpoint")
+        where = ("", 0) if gone else address(raw["endpoint"])
+    except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as fault:
+        raise BadRow(f"{type(fault).__name__}: {fault}") from fault
+    return worker, where
+
+
+class HostGroup:
+    """The list as this node last had it, and the watch that keeps it up to date."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, pool: Pool, counters: Counters,
+                 log: Log, discovery: Address, names: Names) -> None:
+        """Begin without a list; `start` brings the one known from before."""
+        self.scheduler, self.clock, self.dispatch, self.pool = scheduler, clock, dispatch, pool
+        self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
+        self.version: int | None = None
+        self.addresses: dict[str, Address] = {}
+        self._watches = 0
+
+    def start(self, known: Mapping[str, Any]) -> None:
+        """Tell the list that this node held before its start."""
+        self._take(known, Listing.CACHED)
+
+    def watch(self) -> None:
+        """Begin a watch; it replaces one that still runs."""
+        self._watches += 1
+        number = self._watches
+        self.scheduler.spawn(lambda: self._follow(number))
+
+    def _take(self, said: Mapping[str, Any], listing: Listing) -> None:
+        """Take one object of the list. A broken entry is left out; the others count."""
+        rows = []
+        whole = listing is not Listing.DELTA
+        addresses = {} if whole else dict(self.addresses)
+        for raw in said.get("targets") or []:
+            try:
+                worker, where = read_row(raw, self.names)
+            except BadRow as fault:
+                self.counters.add("list.bad-row")
+                self.log("bad-row", why=fault, row=str(raw)[:120])
+                continue
+            rows.append(worker)
+            if worker.state is State.GONE:
+                addresses.pop(worker.id, None)
+            else:
+                addresses[worker.id] = where
+        if isinstance(said.get("rev"), int):
+            self.version = said["rev"]
+        self.addresses = addresses
+        self.pool.moved(addresses)
+        self.log("list", kind=listing.value, rev=self.version, rows=len(rows), known=len(addresses))
+        self.dispatch.listed(WorkersChanged(listing, tuple(rows)))
+
+    def _follow(self, number: int) -> None:
+        ending = Ending.OUR_FAULT
+        stream: Stream | None = None
+        try:
+            stream = Stream(self.scheduler, socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+                            ReceiveBuffer(16 * 1024, 256 * 1024))
+            ending = self._follow_on(number, stream)
+        except OSError:
+            ending = Ending.WATCH_REFUSED
+        except (BadMessage, OverflowError, ValueError) as fault:
+            self.log("bad-list", why=fault)
+            ending = Ending.WATCH_BROKEN
+        except Exception:
+            self.counters.add("fault.host-group")
+            self.log("fault", where="host-group", trace=traceback.format_exc())
+        finally:
+            if stream is not None:
+                stream.close()
+            self.counters.add(f"watch.{ending.value}")
+            if ending is not Ending.WATCH_REPLACED:
+                self.log("watch", ending=ending.value, rev=self.version)
+                self.dispatch.listed(WorkersChanged(Listing.FAILED))
+
+    def _follow_on(self, number: int, stream: Stream) -> Ending:
+        if not stream.dial(self.discovery, self.clock.now() + DIAL_MS):
+            return Ending.WATCH_REFUSED
+        since = b"" if self.version is None else b"&since=%d" % self.version
+        host = "{}:{}".format(*self.discovery).encode()
+        request = request_parts(b"GET", b"/api/targets?follow=1" + since, host, [], b"")
+        if not stream.write(request, self.clock.now() + SILENT_MS):
+            return Ending.WATCH_SILENT
+        side = WorkerSide(1 << 60, MAX_LINE)
+        while side.is_open:
+            why = stream.readable(self.clock.now() + SILENT_MS)
+            if number != self._watches:
+                return Ending.WATCH_REPLACED
+            if why is Wake.TIMEOUT:
+                return Ending.WATCH_SILENT
+            size = stream.read()
+            lines = side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
+            if side.status not in (0, 200):
+                return Ending.WATCH_REFUSED
+            for line in lines:
+                if line.strip():
+                    said = json.loads(line)
+                    if not isinstance(said, dict) or not isinstance(said.get("targets", []), list):
+                        raise ValueError("not a list object")
+                    self._take(said, Listing.FULL if said.get("all") else Listing.DELTA)
+        return Ending.WATCH_ENDED
--- /dev/null
+++ b/pipitledge/node/server_link.py
@@ -0,0 +1,316 @@
+"""Server links: connections to workers, each with its task, kept in a pool per worker."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import json
+import math
+import socket
+import traceback
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from pipitledge.http1.heads import BadMessage
+from pipitledge.http1.worker_side import WorkerSide, request_parts
+from pipitledge.net.scheduler import Scheduler, Task, Wake
+from pipitledge.net.stream import Part, Stream
+from pipitledge.net.timers import Clock
+from pipitledge.node.config import Address
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.dispatch import Dispatch, Execution
+from pipitledge.node.endings import Ending
+from pipitledge.settings import REPORTS
+
+MAX_ANSWER, MAX_LINE = 4 * 1024 * 1024, 512 * 1024  # a result of 64 KiB may be escaped sixfold
+TAIL_MS = 250.0  # how long the end of an answer's framing may take after its last line
+PROBE_MS = 1_000.0
+IDLE_SHARE, IDLE_SPARE_MS = 0.8, 1_000.0  # of the workers' idle limit: we close first
+
+
+@dataclass(frozen=True, slots=True)
+class Passage:
+    """What is passed on to a worker unchanged."""
+
+    method: bytes
+    target: bytes
+    host: bytes
+    request_id: bytes
+    idempotency_key: bytes
+    body: bytes
+
+    def parts(self, left_ms: float) -> list[Part]:
+        """Give the request as parts for a gathered write."""
+        fields = [(b"Request-Id", self.request_id)]
+        if self.idempotency_key:
+            fields.append((b"Idempotency-Key", self.idempotency_key))
+        fields.append((b"Request-Timeout-Ms", b"%d" % max(1, math.ceil(left_ms))))
+        return request_parts(self.method, self.target, self.host, fields, self.body)
+
+
+def read_report(raw: object) -> dict[str, float] | None:
+    """Read a load report, from a JSON object, under the module's names; None where there is none to read."""
+    if not isinstance(raw, Mapping):
+        return None
+    values = {REPORTS.get(str(name), str(name)): value for name, value in raw.items()}
+    return {name: float(value) for name, value in values.items()
+            if isinstance(value, (int, float)) and math.isfinite(value)} or None
+
+
+def read_report_header(value: bytes) -> dict[str, float] | None:
+    """Read a load report from a Server-Load header."""
+    pairs: dict[str, float] = {}
+    for pair in value.decode("latin-1").split(","):
+        name, _, number = pair.partition("=")
+        with contextlib.suppress(ValueError):
+            pairs[name.strip()] = float(number)
+    return read_report(pairs)
+
+
+def ending_of_status(status: int, not_started: bool) -> Ending:
+    """Read an answer that is not 200: only with Not-Started is it known that the job never ran."""
+    return Ending.HANDED_BACK if status in (503, 504) and not_started else Ending.WORKER_FAILED
+
+
+STATES = {"done": Ending.SERVED, "failed": Ending.WORKER_FAILED, "returned": Ending.HANDED_BACK,
+          "lost": Ending.JOB_LOST}
+
+
+class ServerLink:
+    """One connection to a worker. Its task serves one execution after another."""
+
+    def __init__(self, pool: Pool, worker: str, address: Address, execution: Execution) -> None:
+        """Be made for an execution; the task dials."""
+        self.pool, self.worker, self.address = pool, worker, address
+        self.execution: Execution | None = execution
+        self.stream: Stream | None = None
+        self.retired = False
+        self.task: Task = pool.scheduler.spawn(self.run)
+        execution.wake = self.task.wake
+
+    def run(self) -> None:
+        """Dial, serve, wait for the next execution; whatever happens, what it holds gets an ending."""
+        ending = Ending.OUR_FAULT
+        try:
+            ending = self._dial()
+            while ending is Ending.SERVED and self.execution is not None:
+                ending = self._serve(self.execution)
+                if ending is Ending.SERVED:
+                    ending = self._idle()
+        except Exception:
+            ending = Ending.OUR_FAULT
+            self.pool.fault("server-link", self.worker)
+        finally:
+            self.pool.closed(self)
+            if self.stream is not None:
+                self.stream.close()
+            if self.execution is not None:
+                self._end(ending)
+
+    def _end(self, ending: Ending, report: dict[str, float] | None = None, result: bytes = b"") -> None:
+        execution, self.execution = self.execution, None
+        if execution is not None:
+            execution.wake = None
+            if ending not in (Ending.SERVED, Ending.HANDED_BACK):
+                self.pool.log("execution", ending=ending.value, worker=self.worker,
+                              query=execution.query.arrival.job, number=execution.number)
+            self.pool.dispatch.ended(execution, ending, report, result)
+
+    def _dial(self) -> Ending:
+        """Connect within the settings' limit. SERVED means: go on."""
+        assert self.execution is not None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:
+            return Ending.NO_SOCKET
+        self.stream = Stream(self.pool.scheduler, sock)
+        self.pool.counters.add("link.dialled")
+        until = min(self.pool.clock.now() + self.pool.dial_timeout_ms, self.execution.deadline_ms)
+        try:
+            if self.stream.dial(self.address, until):
+                return Ending.SERVED
+        except OSError as fault:
+            if fault.errno in (errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL):
+                return Ending.NO_SOCKET
+            return Ending.DIAL_REFUSED
+        return Ending.CALLED_OFF if self.execution.abandoned else Ending.DIAL_TIMEOUT
+
+    def _serve(self, execution: Execution) -> Ending:
+        """Send one execution and read its answer. SERVED means: the connection can be used again."""
+        stream = self.stream
+        assert stream is not None
+        # Up to the last byte written the worker can't have begun; from there on it may have. What is written
+        # to a connection that the worker has closed unseen is therefore a reset, and never sent again here.
+        try:
+            left = execution.deadline_ms - self.pool.clock.now()
+            if not stream.write(execution.query.passage.parts(left), execution.deadline_ms):
+                return Ending.BROKEN_BEFORE_SENT
+        except OSError:
+            return Ending.BROKEN_BEFORE_SENT
+        side = WorkerSide(MAX_ANSWER, MAX_LINE)
+        while side.is_open:
+            if execution.abandoned and self.execution is not None:
+                return Ending.CALLED_OFF
+            until = execution.deadline_ms if self.execution else self.pool.clock.now() + TAIL_MS
+            why = stream.readable(until)
+            if why is Wake.NOTICE:
+                continue
+            if why is Wake.TIMEOUT:
+                return Ending.OUT_OF_TIME
+            try:
+                size = stream.read()
+                lines = side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
+            except OSError:
+                return Ending.BROKEN_AFTER_SENT
+            except (BadMessage, OverflowError) as fault:
+                self.pool.counters.add("link.bad-answer")
+                self.pool.log("bad-answer", worker=self.worker, why=fault)
+                return Ending.BROKEN_ANSWER
+            if side.status == 200 and not self._lines(execution, lines):
+                return Ending.BROKEN_ANSWER
+            if side.status != 200 and side.is_whole:
+                self._end(ending_of_status(side.status, side.not_started), read_report_header(side.load))
+        if self.execution is not None:
+            return Ending.BROKEN_ANSWER if side.is_whole else Ending.BROKEN_AFTER_SENT
+        return Ending.SERVED if side.is_whole and side.keeps_alive else Ending.IDLE_CLOSED
+
+    def _lines(self, execution: Execution, lines: list[bytes]) -> bool:
+        """Take the lines of a 200; False if one can't be read."""
+        for line in lines:
+            if not line.strip() or self.execution is None:
+                continue
+            try:
+                said: Any = json.loads(line)
+                state = said["state"]
+                if state in STATES:
+                    result = said.get("result", "") if state == "done" else ""
+                    text = result if isinstance(result, str) else json.dumps(result)
+                    self._end(STATES[state], read_report(said.get("load")), text.encode())
+                elif state == "running":
+                    self.pool.dispatch.noted(execution, max(1e-9, float(said.get("share", 0.0))))
+                elif state == "started":
+                    self.pool.dispatch.noted(execution, 0.0)
+            except (ValueError, KeyError, TypeError, AttributeError):
+                self.pool.counters.add("link.bad-line")
+                self.pool.log("bad-line", worker=self.worker, line=line[:80])
+                return False
+        return True
+
+    def _idle(self) -> Ending:
+        """Wait in the pool. SERVED means: there is another execution."""
+        stream = self.stream
+        assert stream is not None
+        if self.retired or len(stream.buffer):
+            return Ending.STALE
+        self.pool.release(self)
+        stream.readable(self.pool.clock.now() + self.pool.idle_ms)
+        return Ending.SERVED if self.execution is not None else Ending.IDLE_CLOSED
+
+
+class Pool:
+    """All server links, the idle ones by worker and newest last."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
+                 dial_timeout_ms: float, idle_ms: float, most: int) -> None:
+        """Keep at most `most` links, and none idle for longer than the workers allow."""
+        self.scheduler, self.clock, self.dispatch, self.counters, self.log = (
+            scheduler, clock, dispatch, counters, log)
+        self.dial_timeout_ms, self.most = dial_timeout_ms, most
+        self.idle_ms = max(idle_ms * 0.1, min(idle_ms * IDLE_SHARE, idle_ms - IDLE_SPARE_MS))
+        self.addresses: dict[str, Address] = {}
+        self.links: set[ServerLink] = set()
+        self.idle: dict[str, list[ServerLink]] = {}
+
+    def start(self, execution: Execution) -> None:
+        """Give an execution to the newest idle link that is still open, or to a new one."""
+        worker = execution.worker
+        address = self.addresses.get(worker)
+        if address is None:
+            self.dispatch.ended(execution, Ending.NO_ADDRESS)
+            return
+        idle = self.idle.get(worker, [])
+        while idle:
+            link = idle.pop()
+            # A worker that closed or restarted meanwhile shows here, before a byte is written.
+            if link.stream is not None and link.address == address and link.stream.is_quiet():
+                link.execution, execution.wake = execution, link.task.wake
+                link.task.wake()
+                return
+            self.counters.add("link.stale")
+            link.task.wake()
+        if len(self.links) >= self.most and not self._shed():
+            self.dispatch.ended(execution, Ending.NO_SOCKET)
+            return
+        self.links.add(ServerLink(self, worker, address, execution))
+
+    def _shed(self) -> bool:
+        """Let go of one idle link, to have its descriptor for a new one."""
+        for idle in self.idle.values():
+            if idle:
+                idle.pop(0).task.wake()
+                return True
+        return False
+
+    def release(self, link: ServerLink) -> None:
+        """Put a link back that can be used again."""
+        self.idle.setdefault(link.worker, []).append(link)
+
+    def closed(self, link: ServerLink) -> None:
+        """Forget a link."""
+        self.links.discard(link)
+        with contextlib.suppress(ValueError, KeyError):
+            self.idle[link.worker].remove(link)
+
+    def fault(self, where: str, worker: str) -> None:
+        """Log an exception of ours."""
+        self.counters.add(f"fault.{where}")
+        self.log("fault", where=where, worker=worker, trace=traceback.format_exc())
+
+    def moved(self, addresses: dict[str, Address]) -> None:
+        """Take over the list's addresses; idle links to workers that left it are closed."""
+        self.addresses = addresses
+        for worker in [worker for worker in self.idle if worker not in addresses]:
+            for link in self.idle.pop(worker):
+                link.task.wake()
+
+    def probe(self, worker: str) -> None:
+        """Ask a worker how it is, on a connection of its own."""
+        self.scheduler.spawn(lambda: self._probe(worker))
+
+    def _probe(self, worker: str) -> None:
+        began, report, ending, stream = self.clock.now(), None, Ending.OUR_FAULT, None
+        try:
+            address = self.addresses.get(worker)
+            if address is None:
+                ending = Ending.NO_ADDRESS
+                return
+            stream = Stream(self.scheduler, socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            ending = Ending.DIAL_TIMEOUT
+            if not stream.dial(address, began + self.dial_timeout_ms):
+                return
+            host = f"{address[0]}:{address[1]}".encode()
+            ending, until = Ending.OUT_OF_TIME, began + PROBE_MS
+            request = request_parts(b"GET", b"/-/load", host, [(b"Connection", b"close")], b"")
+            if not stream.write(request, until):
+                return
+            side, body = WorkerSide(MAX_LINE, MAX_LINE), list[bytes]()
+            while side.is_open:
+                if stream.readable(until) is Wake.TIMEOUT:
+                    return
+                size = stream.read()
+                body += side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
+            ending = Ending.BROKEN_AFTER_SENT if not side.is_whole else (
+                Ending.SERVED if side.status == 200 else ending_of_status(side.status, side.not_started))
+            with contextlib.suppress(ValueError):
+                report = read_report(json.loads(b"".join(body))) or read_report_header(side.load)
+        except OSError:
+            ending = Ending.DIAL_REFUSED if ending is Ending.DIAL_TIMEOUT else Ending.BROKEN_AFTER_SENT
+        except (BadMessage, OverflowError):
+            ending = Ending.BROKEN_ANSWER
+        except Exception:
+            self.fault("probe", worker)
+        finally:
+            if stream is not None:
+                stream.close()
+            self.dispatch.probed(worker, ending, self.clock.now() - began, report)
