Keep both ends of the signal socket, so that the node neither spins nor misses signals

Checked: with no client it spun as well, so it was none of the HTTP parts; Python then warned that it could not write to the signal wake-up descriptor. Lines at fault: __main__._signals, where the writing end of the socket pair was a local that nothing held. It was collected, the reading end stood at its end for good, and poll reported it in every round.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import gc
 import os
 import signal
-import socket
 import sys
 import traceback
 
@@ -18,6 +16,7 @@
 from pipitledge.node.front import SPARE, Front
 from pipitledge.node.host_group import HostGroup
 from pipitledge.node.server_link import Pool
+from pipitledge.node.signals import Signals
 from pipitledge.policy import Policy
 
 # Descriptors: standard streams, signals, listener, watch and its successor, and some that libraries open.
@@ -53,38 +52,24 @@
     group.start(told.known)
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen,
                   spare - links)
-    _signals(scheduler, front, counters, log)
+
+    def take(number: int) -> None:
+        log("signal", name=signal.Signals(number).name)
+        if number == signal.SIGUSR1:
+            log("counters", open=dispatch.open, counters=counters.text())
+        else:
+            front.stop()
+
+    signals = Signals(scheduler, (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1), take)
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=links)
     gc.collect()
     gc.freeze()  # what is there by now stays: later collections need not look at it
     scheduler.run()
+    del signals
     log("stopped", open=dispatch.open, counters=counters.text())
     return 0
 
 
-def _signals(scheduler: Scheduler, front: Front, counters: Counters, log: Log) -> None:
-    """Let signals wake the poll: a handler alone would run, and the poll would go back to waiting."""
-    ours, wakes = socket.socketpair()
-    ours.setblocking(False)
-    wakes.setblocking(False)
-    signal.set_wakeup_fd(wakes.fileno(), warn_on_full_buffer=False)
-    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1):
-        signal.signal(number, lambda *_: None)
-
-    def listen() -> None:
-        while True:
-            scheduler.wait(fd=ours.fileno())
-            with contextlib.suppress(BlockingIOError):
-                for number in ours.recv(64):
-                    log("signal", name=signal.Signals(number).name)
-                    if number == signal.SIGUSR1:
-                        log("counters", open=front.dispatch.open, counters=counters.text())
-                    elif number in (signal.SIGTERM, signal.SIGINT):
-                        front.stop()
-
-    scheduler.spawn(listen)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/pipitledge/node/signals.py
@@ -0,0 +1,41 @@
+"""Signals as something the scheduler can wait for."""
+
+from __future__ import annotations
+
+import signal
+import socket
+from collections.abc import Callable, Iterable
+
+from pipitledge.net.scheduler import Scheduler
+
+
+class Signals:
+    """Turns signals into calls of `take`, in a task of their own.
+
+    A handler alone would run, and the poll would go back to waiting: the interpreter therefore writes each
+    signal's number to a socket. Both ends have to be kept here. When the writing end was a mere local it was
+    collected, the other end stood at its end for good, and the node spun on it and was deaf to SIGTERM.
+    """
+
+    def __init__(self, scheduler: Scheduler, numbers: Iterable[int], take: Callable[[int], None]) -> None:
+        """Catch these signals from now on."""
+        self.scheduler, self.take = scheduler, take
+        self.ours, self.wakes = socket.socketpair()
+        self.ours.setblocking(False)
+        self.wakes.setblocking(False)
+        signal.set_wakeup_fd(self.wakes.fileno(), warn_on_full_buffer=False)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
+        scheduler.spawn(self._listen)
+
+    def _listen(self) -> None:
+        while True:
+            self.scheduler.wait(fd=self.ours.fileno())
+            try:
+                numbers = self.ours.recv(64)
+            except BlockingIOError:
+                continue
+            if not numbers:
+                raise RuntimeError("signal socket closed")  # waiting on would spin
+            for number in numbers:
+                self.take(number)
