Refusals say when to return: after the longest wait that clients heed

The module sent Refuse without advice. So short advice costs: the aim runs from the first try, and who comes back into an overload takes tokens from jobs that can be in time. Kept: the longest wait.

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -115,6 +115,13 @@
         mean = sum(self.run_ms) / len(self.run_ms)
         return max(job.event.slots, self.own + self.spill) * (1.0 + WAITING * job.wait_ms / mean)
 
+    def _refuse(self, job: str) -> None:
+        """Refuse, and say when to ask again. The aim runs from the first try and overloads last for seconds:
+        who comes back within one takes tokens from jobs that can still be in time. So it is as long as
+        clients will wait."""
+        rules = self.settings
+        self.actions.append(Refuse(job, rules.max_retry_after_ms if rules.retry_after else 0.0))
+
     def _arrived(self, event: JobArrived) -> None:
         if event.job in self.jobs:
             return  # told twice it must not take tokens twice
@@ -129,7 +136,7 @@
         tenant = min(event.tenant, len(self.shares) - 1)
         job = JobRecord(event, cls, tenant, max(1.0, size), wait, born, useful)
         if self.now > useful or not (self._admit(job) or self._push_out(job)):
-            self.actions.append(Refuse(event.job))
+            self._refuse(event.job)
             return
         self.jobs[event.job] = job
         self.inflight[tenant] += event.slots
@@ -278,7 +285,10 @@
         """The final answer: a refusal where trying again is provably harmless, else a failure."""
         cls, name = job.cls, job.event.job
         harmless = HARMLESS[cls.repeat][1] or (cls.repeat is Repeat.KEYED and cls.scope is Scope.ALL)
-        self.actions.append(Refuse(name) if harmless or job.maybe_ran() is None else Fail(name))
+        if harmless or job.maybe_ran() is None:
+            self._refuse(name)
+        else:
+            self.actions.append(Fail(name))
         self._close(job)
 
     def _ended(self, event: AttemptEnded) -> None:
