--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -109,12 +109,18 @@
         """Run rounds until stop is called."""
         self._running = True
         while self._running:
-            while self.ready:
-                resumed, why = self.ready.popleft()
-                resumed.switch(why) if resumed else resumed.switch()
-            self.after_round()
-            if self._running:
-                self._poll_once(0.0 if self.ready else self.timers.wait_ms())
+            self.turn()
+
+    def turn(self, wait_most_ms: float | None = None) -> None:
+        """Run one round: what is ready, what the node decides on it, then a poll up to the next timer."""
+        while self.ready:
+            resumed, why = self.ready.popleft()
+            resumed.switch(why) if resumed else resumed.switch()
+        self.after_round()
+        wait = 0.0 if self.ready or not self._running else self.timers.wait_ms()
+        if wait_most_ms is not None:
+            wait = wait_most_ms if wait is None else min(wait, wait_most_ms)
+        self._poll_once(wait)
 
     def stop(self) -> None:
         """Leave run once the present round is over."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -439,7 +439,8 @@
     assert len(driver.policy.jobs) + len(of(driver.did, Refuse)) >= 30
 
 
-@pytest.mark.parametrize("told, most, advice", [(True, 2_000.0, 2_000.0), (True, 0.0, 0.0), (False, 2_000.0, 0.0)])
+@pytest.mark.parametrize("told, most, advice", [
+    (True, 2_000.0, 2_000.0), (True, 0.0, 0.0), (False, 2_000.0, 0.0)])
 def test_a_refusal_says_when_to_return_where_the_site_passes_it_on(
         told: bool, most: float, advice: float) -> None:
     use = settings(classes=(SAFE,), retry_after=told, max_retry_after_ms=most)
