Let the loop, timers and accepting outlive a fault, and find a silent watch in 3.5 s

Found by reading for the rule that no exception may lose a query: one in a timer, in the round's hook or while accepting would have ended the loop or the accepting (net/scheduler.py turn, net/timers.py run_due, node/front.py _accept). Each has a test. Discovery's news counts as told after 6 s, so a watch that is silent for 6 s was found too late to ask again (host_group.py SILENT_MS); blank lines come every 2 s, 3.5 s allows one to be late.

--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -116,7 +116,10 @@
         while self.ready:
             resumed, why = self.ready.popleft()
             resumed.switch(why) if resumed else resumed.switch()
-        self.after_round()
+        try:
+            self.after_round()
+        except Exception as fault:  # the loop is the one thing that must never end by a fault
+            self.crashed(fault)
         wait = 0.0 if self.ready or not self._running else self.timers.wait_ms()
         if wait_most_ms is not None:
             wait = wait_most_ms if wait is None else min(wait, wait_most_ms)
@@ -133,4 +136,4 @@
                 task.wake(Wake.READY)
             elif self._masks.pop(fd, None) is not None:
                 self._poll.unregister(fd)  # nobody waits for it now; the next wait registers it again
-        self.timers.run_due()
+        self.timers.run_due(self.crashed)
--- a/pipitledge/net/timers.py
+++ b/pipitledge/net/timers.py
@@ -65,10 +65,11 @@
             heapq.heappop(heap)
         return max(0.0, heap[0][0] - self.now()) if heap else None
 
-    def run_due(self) -> None:
+    def run_due(self, crashed: Callable[[BaseException], None]) -> None:
         """Call all that are due now, never one before its time: the module ignores an early tick for good.
 
-        A timer set by one of these calls waits for the next round, even if it is due.
+        A timer set by one of these calls waits for the next round, even if it is due. An exception of one
+        is told and must not take the others with it: they are out of the heap already.
         """
         heap, now, due = self._heap, self.now(), list[Timer]()
         while heap and heap[0][0] <= now:
@@ -76,4 +77,7 @@
         for timer in due:
             action, timer.action = timer.action, None
             if action is not None:
-                action()
+                try:
+                    action()
+                except Exception as fault:
+                    crashed(fault)
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -82,7 +82,7 @@
         return str(value)
 
     stated, limits = raw.get("settings") or {}, raw.get("limits") or {}
-    allow = stated.get("permissions") or {}
+    allow, known = stated.get("permissions") or {}, raw.get("known")
     names = Names(
         classes=_bytes(_names(stated.get("lanes"))), tenants=_bytes(_names(stated.get("realms"))),
         zones=_names(stated.get("zones")), kinds=_names(stated.get("shapes")),
@@ -90,7 +90,7 @@
     return Config(
         name=told("name"), listen=address(told("listen")), discovery=address(told("discovery")),
         seed=int(str(raw.get("seed", "0")), 16), sockets=int(limits.get("sockets", 1024)),
-        memory_mb=int(limits.get("memory_mb", 192)), known=raw.get("known") or {},
+        memory_mb=int(limits.get("memory_mb", 192)), known=known if isinstance(known, dict) else {},
         settings=settings_from(stated), names=names,
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)))
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -247,7 +247,12 @@
         while not self.closing:
             fd = self.listener.fileno() if until == math.inf else -1
             self.scheduler.wait(until, fd)
-            until = math.inf if self._accept_all() else self.clock.now() + ACCEPT_AGAIN_MS
+            try:
+                room = self._accept_all()
+            except Exception:  # whatever one client does, the next ones are taken
+                self.fault()
+                room = False
+            until = math.inf if room else self.clock.now() + ACCEPT_AGAIN_MS
         self._accept_all()  # what the system has accepted for us is ours to answer
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -23,7 +23,9 @@
 from pipitledge.settings import STATES
 
 DIAL_MS = 1_000.0
-SILENT_MS = 6_000.0  # discovery writes an empty line every 2 s: three missed and the watch is dead
+# Discovery writes an empty line every 2 s, and what it has to tell counts as told after 6 s: a watch that is
+# silent must be found dead early enough to ask again within that time.
+SILENT_MS = 3_500.0
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -73,7 +75,8 @@
         rows = []
         whole = listing is not Listing.DELTA
         addresses = {} if whole else dict(self.addresses)
-        for raw in said.get("targets") or []:
+        told = said.get("targets")
+        for raw in told if isinstance(told, list) else []:
             try:
                 worker, where = read_row(raw, self.names)
             except BadRow as fault:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -272,6 +272,25 @@
     assert front._accept_all() and SPARE > 0
 
 
+def test_a_fault_while_accepting_does_not_end_the_accepting(rig: Rig) -> None:
+    front, listener, _ = listening(rig, 1)
+    accept, faults = listener.accept, [ZeroDivisionError()]
+
+    def broken() -> tuple[socket.socket, None]:
+        if faults:
+            raise faults.pop()
+        return accept()
+
+    listener.accept = broken  # type: ignore[method-assign]
+    rig.scheduler.spawn(front._accept)
+    listener.far.send(b"x")  # the listener looks readable
+    rig.settle()
+    assert rig.counters.counts["fault.front"] == 1 and not front.links
+    rig.settle(front_module.ACCEPT_AGAIN_MS)
+    assert len(front.links) == 1
+    rig.logged.clear()
+
+
 def test_stopping_answers_what_is_held_with_close_and_ends_when_all_is_answered(rig: Rig) -> None:
     front, listener, fars = listening(rig, 2)
     assert front._accept_all()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -44,7 +44,7 @@
             model.pop(chosen, None)
         elif step == "r":
             now[0] += a / 2
-            timers.run_due()
+            timers.run_due(pytest.fail)
             due = sorted((at, key) for key, at in model.items() if at <= now[0])
             assert fired == [key for _, key in due]  # those alone, each once, in order
             fired.clear()
@@ -123,6 +123,16 @@
     assert [str(crash) for crash in rig.crashes] == ["no such luck"] and woken == [Wake.TIMEOUT]
 
 
+def test_a_crash_of_one_timer_or_of_the_round_takes_nothing_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    rig, fired = Rig(monkeypatch), list[int]()
+    rig.timers.at(rig.time + 1.0, lambda: fired.append(1 // 0))
+    rig.timers.at(rig.time + 1.0, lambda: fired.append(2))
+    monkeypatch.setattr(rig.scheduler, "after_round", lambda: [][0])
+    rig.settle(2.0)
+    assert fired == [2]
+    assert {type(crash) for crash in rig.crashes} == {ZeroDivisionError, IndexError}
+
+
 def test_signals_keep_both_ends_of_their_socket(monkeypatch: pytest.MonkeyPatch) -> None:
     """The writing end was once collected: the node spun on the other end and missed every signal."""
     rig, taken = Rig(monkeypatch), list[int]()
