Set a worker aside after two plain errors, no longer after a single one

A probe that logged each execution: the fastest worker fell from 76 jobs in 2 s to 27, jobs waited up to 105 ms and a slow worker's 95th percentile doubled. The log shows why: 'set aside: fails 0.30, limit 0.20' after each single error. Lines at fault: JUDGE and FAILS_LEAST in policy.py; one lone error meant 1 s aside and a trial after it. Ruled out: connects, resets, discovery, our CPU (0.14 of a core at most). Now a plain error weighs 0.3 against a limit of 0.4; a failed connection, reset or time-out weighs 0.5, so one is still enough.

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -18,8 +18,9 @@
 
 SAMPLE = 6  # workers looked at for one job: enough to find room, whatever the size of the fleet
 LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
-JUDGE, FLEET = 0.3, 0.02  # weight of one outcome in a worker's failures (one is seen), in the fleet's (50)
-FAILS_TIMES, FAILS_LEAST = 4.0, 0.2  # set aside at so many times the fleet's failures, and so many at least
+JUDGE, FLEET = 0.3, 0.02  # weight of one outcome in a worker's failures, in the fleet's (50)
+JUDGE_DEAD = 0.5  # of one that shows a worker is not there: one is enough; of plain errors it takes two
+FAILS_TIMES, FAILS_LEAST = 4.0, 0.4  # set aside at so many times the fleet's failures, and so many at least
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
 FRESH_MS = 1_500.0  # an older report says nothing of the slots that are free now
@@ -344,7 +345,8 @@
             return
         failed = float(result is not Result.OK)
         self.fleet_failures += FLEET * (failed - self.fleet_failures)
-        worker.failures += JUDGE * (failed - worker.failures)
+        judge = JUDGE if result in (Result.OK, Result.ERROR) else JUDGE_DEAD
+        worker.failures += judge * (failed - worker.failures)
         if failed:
             self._set_aside(worker)
             return
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -298,6 +298,19 @@
     assert any(send.worker == sick for send in of(driver.did, Send))
 
 
+@pytest.mark.parametrize("results, aside", [
+    ([Result.ERROR], False), ([Result.ERROR, Result.ERROR], True), ([Result.CONNECT_FAILED], True),
+    ([Result.RESET], True), ([Result.ERROR, *[Result.OK] * 3, Result.ERROR], False)])
+def test_one_plain_error_does_not_set_a_worker_aside(results: list[Result], aside: bool) -> None:
+    """A lone error cost the fastest worker over a second of trials, and the others drowned meanwhile."""
+    driver = Driver(workers=1)
+    driver.learn_slots(4)
+    for turn, result in enumerate(results):
+        [send] = of(driver.job(f"a{turn}", job_class=1), Send)
+        driver.end(send, result, after_ms=5)
+    assert driver.policy.workers["w0"].trial == aside
+
+
 def test_when_all_fail_alike_nobody_is_set_aside_for_long() -> None:
     driver = Driver(workers=6)
     for index in range(300):
