Follow discovery to its new address on SIGHUP, which used to end the node

At fault: __main__ caught SIGTERM, SIGINT and SIGUSR1 only; host_group had one address for good, and its _follow told FAILED for a watch that had been replaced while it dialled. Ruled out: asking the new address with the old version; a version belongs to the address that told it. Also guarded: names as addresses (a look-up would block the node), a whole list without entries (it dropped every worker), and an exception in a signal's work (it left the node deaf).

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -28,11 +28,6 @@
     """Run one node."""
     counters = Counters()
     log = Log(counters)
-    try:
-        told = config.load(os.environ)
-    except config.ConfigError as fault:
-        log("config", error=fault)
-        return 2
     clock = Clock()
     timers = Timers(clock.now)
 
@@ -41,6 +36,37 @@
         log("fault", where="task", trace="".join(traceback.format_exception(fault)))
 
     scheduler = Scheduler(timers, crashed)
+
+    def take(number: int) -> None:
+        log("signal", name=signal.Signals(number).name)
+        if number == signal.SIGUSR1:
+            log("counters", open=dispatch.open, counters=counters.text())
+        elif number == signal.SIGHUP:
+            reload()
+        else:
+            front.stop()
+
+    def reload() -> None:
+        """Read the configuration again; one that can't be used leaves everything as it is."""
+        try:
+            new = config.load(os.environ)
+        except config.ConfigError as fault:
+            counters.add("config.kept")
+            log("config", kept=told.name, error=fault)
+            return
+        counters.add("config.reloaded")
+        log("config", discovery="{}:{}".format(*new.discovery), moved=new.discovery != group.discovery,
+            needs_restart=",".join(config.changed(told, new)) or "-")
+        group.move(new.discovery)
+
+    # Before the configuration is read: what is caught from here on waits until the loop runs, and a file
+    # replaced meanwhile is read once more.
+    signals = Signals(scheduler, (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP), take)
+    try:
+        told = config.load(os.environ)
+    except config.ConfigError as fault:
+        log("config", error=fault)
+        return 2
     policy = Policy(told.settings, told.seed)
     dispatch = Dispatch(clock, timers, policy, counters, log)
     spare = max(16, told.sockets - BASE - SPARE)
@@ -53,14 +79,6 @@
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen,
                   spare - links)
 
-    def take(number: int) -> None:
-        log("signal", name=signal.Signals(number).name)
-        if number == signal.SIGUSR1:
-            log("counters", open=dispatch.open, counters=counters.text())
-        else:
-            front.stop()
-
-    signals = Signals(scheduler, (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1), take)
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=links)
     gc.collect()
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from typing import Any
 
 from pipitledge.interface import Settings
@@ -48,9 +49,12 @@
 def address(text: str) -> Address:
     """Read host:port."""
     host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or int(port) > 65535:
-        raise ConfigError(f"not an address: {text!r}")
-    return host, int(port)
+    try:  # a name would be looked up, which blocks the whole node; there is no DNS here
+        if colon and port.isdecimal() and int(port) <= 65535:
+            return str(IPv4Address(host)), int(port)
+    except ValueError:
+        pass
+    raise ConfigError(f"not an address: {text!r}")
 
 
 def _names(raw: Any) -> dict[str, int]:
@@ -70,10 +74,18 @@
             with open(path, encoding="utf-8") as file:
                 raw = json.load(file)
         return _config(raw, environ)
-    except (OSError, ValueError, TypeError, KeyError, AttributeError) as fault:
+    except ConfigError:
+        raise
+    except Exception as fault:  # a reload must outlive whatever a file may hold
         raise ConfigError(f"{type(fault).__name__}: {fault}") from fault
 
 
+def changed(old: Config, new: Config) -> list[str]:
+    """Keys that differ and that only a restart takes over."""
+    return [key for key in ("name", "listen", "seed", "sockets", "memory_mb", "settings", "names",
+                            "dial_timeout_ms", "idle_ms") if getattr(old, key) != getattr(new, key)]
+
+
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     def told(key: str) -> str:
         value = raw.get(key) or environ.get("BALANCER_" + key.upper())
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -12,7 +12,7 @@
 from pipitledge.http1.heads import BadMessage
 from pipitledge.http1.worker_side import WorkerSide, request_parts
 from pipitledge.interface import Listing, State, Worker, WorkersChanged
-from pipitledge.net.scheduler import Scheduler, Wake
+from pipitledge.net.scheduler import Scheduler, Task, Wake
 from pipitledge.net.stream import ReceiveBuffer, Stream
 from pipitledge.net.timers import Clock
 from pipitledge.node.config import Address, ConfigError, Names, address
@@ -58,17 +58,40 @@
         self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
         self.version: int | None = None
         self.addresses: dict[str, Address] = {}
-        self._watches = 0
+        self._watches = 0  # begun so far; the newest is the one that counts
+        self._watching: Task | None = None
 
     def start(self, known: Mapping[str, Any]) -> None:
         """Tell the list that this node held before its start."""
         self._take(known, Listing.CACHED)
 
     def watch(self) -> None:
-        """Begin a watch; it replaces one that still runs."""
+        """Begin a watch, unless one runs: it will tell what there is to tell, or its end will.
+
+        After a move the module may still ask because of the watch before: a second call would only cost
+        discovery, which takes a few a second from all nodes together.
+        """
+        if self._watching is None:
+            self._begin()
+
+    def move(self, discovery: Address) -> None:
+        """Follow discovery to another address: the new watch begins at once, the list stays as it is.
+
+        The version belongs to the address that told it, so the whole list is asked for. The watch on the old
+        address ends here; the module does not hear of it, as it would wait before it asks again.
+        """
+        if discovery == self.discovery:
+            return
+        self.discovery, self.version = discovery, None
+        replaced = self._watching
+        self._begin()
+        if replaced is not None:
+            replaced.wake()
+
+    def _begin(self) -> None:
         self._watches += 1
         number = self._watches
-        self.scheduler.spawn(lambda: self._follow(number))
+        self._watching = self.scheduler.spawn(lambda: self._follow(number))
 
     def _take(self, said: Mapping[str, Any], listing: Listing) -> None:
         """Take one object of the list. A broken entry is left out; the others count."""
@@ -99,6 +122,8 @@
         ending = Ending.OUR_FAULT
         stream: Stream | None = None
         try:
+            if number != self._watches:  # replaced before it ran
+                return
             ending = Ending.WATCH_REFUSED
             with contextlib.suppress(OSError):
                 stream = Stream(self.scheduler, socket.socket(socket.AF_INET, socket.SOCK_STREAM),
@@ -118,9 +143,13 @@
         finally:
             if stream is not None:
                 stream.close()
+            # However it ended, while dialling too: once another one has begun it was replaced.
+            if number != self._watches:
+                ending = Ending.WATCH_REPLACED
             self.counters.add(f"watch.{ending.value}")
+            self.log("watch", ending=ending.value, rev=self.version)
             if ending is not Ending.WATCH_REPLACED:
-                self.log("watch", ending=ending.value, rev=self.version)
+                self._watching = None
                 self.dispatch.listed(WorkersChanged(Listing.FAILED))
 
     def _follow_on(self, number: int, stream: Stream) -> Ending:
@@ -143,7 +172,8 @@
             for line in lines:
                 if line.strip():
                     said = json.loads(line)
-                    if not isinstance(said, dict) or not isinstance(said.get("targets", []), list):
+                    # A whole list without its entries would drop every worker.
+                    if not isinstance(said, dict) or not isinstance(said.get("targets"), list):
                         raise ValueError("not a list object")
                     self._take(said, Listing.FULL if said.get("all") else Listing.DELTA)
         return Ending.WATCH_ENDED
--- a/pipitledge/node/signals.py
+++ b/pipitledge/node/signals.py
@@ -38,4 +38,7 @@
             if not numbers:
                 raise RuntimeError("signal socket closed")  # waiting on would spin
             for number in numbers:
-                self.take(number)
+                try:
+                    self.take(number)
+                except Exception as fault:  # whatever one signal leads to, the next must be heard
+                    self.scheduler.crashed(fault)
