Serve on kept connections after SIGTERM while SIGKILL leaves time

Ruled out: ending sooner, as it brings no earlier restart. Queries taken after SIGTERM now end 0.2 s before the earliest SIGKILL, so none of them can be lost.

--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -95,6 +96,7 @@
         self.events: list[api.Event] = []
         self.queries: dict[str, Query] = {}
         self.open = 0
+        self.end_by_ms = math.inf  # of a node that stops: queries taken from then on end by this time
         self.idle: Callable[[], None] = lambda: None  # told when a query was answered and none is left
         self._over: list[Query] = []
         self._carry: dict[type, Callable[[Any], None]] = {
@@ -111,7 +113,7 @@
             return None
         query = Query(arrival, passage, reply)
         early = min(EARLY_MS, EARLY_SHARE * arrival.patience_ms)
-        query.deadline_ms = self.clock.now() + arrival.patience_ms - early
+        query.deadline_ms = min(self.clock.now() + arrival.patience_ms - early, self.end_by_ms)
         query.overdue = self.timers.at(query.deadline_ms + OVERDUE_MS, lambda: self._overdue(query))
         self.queries[arrival.job] = query
         self.open += 1
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -27,7 +27,10 @@
 IDLE_MS = 120_000.0  # a client's connection may stand idle for so long
 REQUEST_MS = 10_000.0  # from a request's first byte to its last
 WRITE_MS, LINGER_MS = 10_000.0, 500.0
-STOP_MS = 500.0  # after SIGTERM connections still come for 0.2 to 0.4 s
+# SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, plus 0.7 s. Until
+# LAST_MS before that we serve as ever, and SPARE_MS before it every query taken since SIGTERM has its answer.
+KILL_LONGEST_MS, KILL_AFTER_MS, LAST_MS, SPARE_MS = 3_000.0, 700.0, 900.0, 200.0
+STOP_MS = 500.0  # at the least: connections still come for 0.2 to 0.4 s
 ACCEPT_AGAIN_MS = 20.0  # without a descriptor to spare
 SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
 BUSY_RETRY_S = b"1"
@@ -147,7 +150,7 @@
                 return Ending.STOPPING if self._closes() else Ending.CLIENT_ASKED
 
     def _closes(self) -> bool:
-        return self.front.stopping or self.over_budget
+        return self.front.closing or self.over_budget
 
     def _write(self, parts: Sequence[Part]) -> bool:
         return self.stream.write(parts, self.front.clock.now() + WRITE_MS)
@@ -309,10 +312,17 @@
         self.log("fault", where="front", trace=traceback.format_exc())
 
     def stop(self) -> None:
-        """SIGTERM: accept a little longer, answer all that is held, then close what is idle."""
+        """SIGTERM: not ready from now on, serve while there is time, then answer all that is held and close.
+
+        Clients use the connections they have for as long as these stay open, and a tier may have one node
+        only: what is closed early is not served elsewhere but lost to them until the restart.
+        """
         if not self.stopping:
-            self.stopping = True
-            self.scheduler.timers.at(self.clock.now() + STOP_MS, self._close)
+            self.stopping, now = True, self.clock.now()
+            longest = max(job_class.deadline_ms for job_class in self.settings.classes)
+            killed = min(longest, KILL_LONGEST_MS) + KILL_AFTER_MS
+            self.dispatch.end_by_ms = now + killed - SPARE_MS
+            self.scheduler.timers.at(now + max(STOP_MS, killed - LAST_MS), self._close)
 
     def _close(self) -> None:
         self.closing = True
