Meet bad clients in time: 2.5 s from connecting, strict fields, places for those served

At fault: front.py (IDLE_MS, REQUEST_MS, _number, _shed), framing.py body_of, heads.py _REQUEST; Stream.linger read on without a pause as long as bytes came, so that one client sending 60 MB held the whole loop. Now: a limit from accept to the first whole request, a close after any error, one read a round while lingering, and who was never served gives way first.

--- a/pipitledge/http1/client_side.py
+++ b/pipitledge/http1/client_side.py
@@ -16,6 +16,9 @@
            502: b"Bad Gateway", 503: b"Service Unavailable"}
 
 
+MAX_BLANK = 8  # empty lines before a request; a client may send nothing else for good
+
+
 class Stage(Enum):
     """Where a client's connection stands."""
 
@@ -51,6 +54,7 @@
     _body: Body | None = None
     _parts: list[bytes] = field(default_factory=list)
     _seen: int = 0
+    _blank: int = 0
 
     def receive(self, buffer: ReceiveBuffer) -> Request | None:
         """Take what has come; a request once it is whole. BadMessage ends the connection after its answer."""
@@ -67,6 +71,9 @@
     def _head(self, buffer: ReceiveBuffer) -> bool:
         while buffer.data.startswith(b"\r\n", buffer.start, buffer.end):
             buffer.consume(2)  # empty lines before a request are to be skipped
+            self._blank += 1
+            if self._blank > MAX_BLANK:
+                raise BadMessage(400, "too many empty lines")
         if not len(buffer):
             self.stage = Stage.IDLE
             return False
@@ -82,7 +89,7 @@
         buffer.consume(end - buffer.start)
         self.wants_continue = not self._body.done and not len(buffer) and (
             self._request.get(b"expect").lower() == b"100-continue")
-        self._seen, self.stage = 0, Stage.BODY
+        self._seen, self._blank, self.stage = 0, 0, Stage.BODY
         return True
 
     def _rest(self, buffer: ReceiveBuffer) -> Request | None:
--- a/pipitledge/http1/framing.py
+++ b/pipitledge/http1/framing.py
@@ -10,6 +10,7 @@
 MAX_BODY = 64 * 1024
 _SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]{0,256})?\r\n")
 _MAX_SIZE_LINE = 300
+MAX_CHUNK_LINES = 2_048  # two a chunk, and the trailer's: a body in chunks of a byte each costs far too much
 
 
 class Body:
@@ -18,10 +19,12 @@
     def __init__(self, length: int | None, chunked: bool, most: int) -> None:
         """Read `length` bytes, chunks, or all there is where neither is given."""
         self.chunked, self.most = chunked, most
+        self.lines_most = max(MAX_CHUNK_LINES, most // 32)  # a watch goes on for good
         self.left = 0 if chunked else length  # None: until the end of the connection
         self.total = 0
         self.done = length == 0 and not chunked
         self._after_chunk = self._in_trailer = False
+        self._lines = 0
 
     def receive(self, buffer: ReceiveBuffer) -> bytes:
         """Consume what has come and return the body's part of it."""
@@ -55,6 +58,9 @@
                 raise BadMessage(400, "bad chunk")
             return False
         start, size = buffer.start, line_end + 2 - buffer.start
+        self._lines += 1
+        if self._lines > self.lines_most:
+            raise BadMessage(400, "too many chunks")
         if self._after_chunk:
             if size != 2:
                 raise BadMessage(400, "bad end of chunk")
@@ -75,12 +81,14 @@
 
 def body_of(head: Head, most: int, until_end: bool) -> Body:
     """The body that a head announces; without any announcement none, or all up to the connection's end."""
-    codings, lengths = head.tokens(b"transfer-encoding"), head.tokens(b"content-length")
-    if codings:
-        if codings != {b"chunked"}:
-            raise BadMessage(501, "unknown transfer coding")
+    # Two announcements are what request smuggling is made of, whatever they say; so is one that readers may
+    # take differently: a blank one, or one that is repeated.
+    lengths = head.all(b"content-length")
+    if head.has(b"transfer-encoding"):
         if lengths or head.minor == b"0":
-            raise BadMessage(400, "conflicting body lengths")  # what request smuggling is made of
+            raise BadMessage(400, "conflicting body lengths")
+        if b",".join(head.all(b"transfer-encoding")).lower() != b"chunked":
+            raise BadMessage(501, "unknown transfer coding")
         return Body(None, True, most)
     if not lengths:
         return Body(None if until_end else 0, False, most)
--- a/pipitledge/http1/heads.py
+++ b/pipitledge/http1/heads.py
@@ -8,7 +8,7 @@
 MAX_FIELDS = 100
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-_REQUEST = re.compile(rb"(" + _TOKEN + rb") ([\x21-\x7e\x80-\xff]+) HTTP/1\.([01])\r\n")
+_REQUEST = re.compile(rb"(" + _TOKEN + rb") ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
 _STATUS = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 _FIELD = re.compile(rb"(" + _TOKEN + rb"):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
 
@@ -36,6 +36,10 @@
         """Values of a field, by its lower-case name."""
         return [bytes(self.data[start:end]) for known, start, end in self.fields if known == name]
 
+    def has(self, name: bytes) -> bool:
+        """Whether a field is there, blank ones too."""
+        return any(known == name for known, _, _ in self.fields)
+
     def get(self, name: bytes) -> bytes:
         """One value, empty where the field is absent; a field that may come once must not differ."""
         values = self.all(name)
--- a/pipitledge/net/stream.py
+++ b/pipitledge/net/stream.py
@@ -9,6 +9,7 @@
 from pipitledge.net.scheduler import WRITE, Scheduler, Wake
 
 Part = bytes | memoryview
+_DROPPED = bytearray(64 * 1024)  # written over and never read
 AT_ONCE = 64  # parts handed to one sendmsg; far under the system's limit of 1,024
 
 
@@ -121,14 +122,15 @@
         return False
 
     def linger(self, until_ms: float) -> None:
-        """Send the end, then drop what still comes: closing on unread bytes would reset the answer away."""
+        """Send the end, then drop what still comes: closing on unread bytes would reset the answer away.
+
+        One read a round into a buffer that all share: who still sends 60 MB at full speed takes neither
+        memory nor the loop. A notice ends it too.
+        """
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_WR)
-            while True:
-                self.buffer.start = self.buffer.end
-                size = self.read()
-                if size == 0 or (size < 0 and self.readable(until_ms) is Wake.TIMEOUT):
-                    return
+            while self.readable(until_ms) is Wake.READY and self.sock.recv_into(_DROPPED):
+                pass
 
     def close(self) -> None:
         """Close the socket; again does nothing."""
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -8,15 +8,16 @@
 import contextlib
 import errno
 import math
+import re
 import socket
 import traceback
 from collections.abc import Sequence
 
 from pipitledge.http1.client_side import ClientSide, Request, Stage
 from pipitledge.http1.heads import BadMessage
-from pipitledge.interface import JobArrived, Settings
+from pipitledge.interface import JobArrived, Repeat, Settings
 from pipitledge.net.scheduler import Scheduler, Wake
-from pipitledge.net.stream import Part, Stream
+from pipitledge.net.stream import Part, ReceiveBuffer, Stream
 from pipitledge.net.timers import Clock
 from pipitledge.node.config import Address, Names
 from pipitledge.node.counters import Counters, Log
@@ -24,9 +25,12 @@
 from pipitledge.node.endings import Ending
 from pipitledge.node.server_link import Passage
 
-IDLE_MS = 120_000.0  # a client's connection may stand idle for so long
-REQUEST_MS = 10_000.0  # from a request's first byte to its last
-WRITE_MS, LINGER_MS = 10_000.0, 500.0
+IDLE_MS = 120_000.0  # a connection that has served may stand idle for so long
+# From accepting a connection to its first whole request, and on a used one from a request's first byte to its
+# last, however the bytes come: clients that say nothing or half a request are to be rid of within 3 s.
+REQUEST_MS = 2_500.0
+FRESH_MS = 250.0  # who has not sent a whole request by then gives way first when places are short
+WRITE_MS, LINGER_MS = 10_000.0, 2_000.0
 # SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, plus 0.7 s. Until
 # LAST_MS before that we serve as ever, and SPARE_MS before it every query taken since SIGTERM has its answer.
 KILL_LONGEST_MS, KILL_AFTER_MS, LAST_MS, SPARE_MS = 3_000.0, 700.0, 900.0, 200.0
@@ -35,6 +39,11 @@
 SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
 BUSY_RETRY_S = b"1"
 MAX_PATIENCE_MS = 600_000.0
+BUFFER = 20 * 1024  # a whole head and a little more; bodies are taken out as they come
+
+# float() and int() take far more than the protocol has: 1_000, 1e3, nan, blanks, a sign.
+_WHOLE, _FIGURE = re.compile(rb"[0-9]{1,9}"), re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
+_PASSED_ON = re.compile(rb"[\x21-\x7e]{1,256}")
 
 
 def read_arrival(request: Request, names: Names, settings: Settings) -> JobArrived:
@@ -45,24 +54,30 @@
         raise BadMessage(404, "no such class")
     if request.method != b"POST":
         raise BadMessage(405, "jobs come by POST")
-    job = request.get(b"request-id").decode("latin-1")
-    if not job or len(job) > 256:
-        raise BadMessage(400, "Request-Id is missing or too long")
+    # What is passed on to workers: present where it must be, and of visible characters only.
+    for name, needed in ((b"request-id", True), (b"host", True),
+                         (b"idempotency-key", settings.classes[job_class].repeat is Repeat.KEYED)):
+        if not _PASSED_ON.fullmatch(request.get(name)) and (needed or request.get(name)):
+            raise BadMessage(400, f"{name.decode()} is missing, too long or not plain text")
+    job = request.get(b"request-id").decode()
     patience = settings.classes[job_class].deadline_ms
-    if stated := request.get(b"request-timeout-ms"):
-        patience = _number(stated, "Request-Timeout-Ms")
-        if not 0 < patience <= MAX_PATIENCE_MS:
-            raise BadMessage(400, "Request-Timeout-Ms out of range")
+    if b"request-timeout-ms" in request.fields:
+        stated = request.get(b"request-timeout-ms")
+        if not _WHOLE.fullmatch(stated) or not 0 < int(stated) <= MAX_PATIENCE_MS:
+            raise BadMessage(400, "bad Request-Timeout-Ms")
+        patience = float(stated)
     tenant = 0
     if told := request.get(b"tenant"):
         if told not in names.tenants and names.tenants:
             raise BadMessage(400, "no such tenant")
         tenant = names.tenants.get(told, 0)
-    info = {}
+    info: dict[bytes, float] = {}
     for pair in request.get(b"request-info").split(b","):
         key, _, value = pair.strip().partition(b"=")
         if key in (b"slots", b"memory", b"hint"):
-            info[key] = _number(value, "Request-Info")
+            if key in info or not _FIGURE.fullmatch(value):
+                raise BadMessage(400, "bad Request-Info")
+            info[key] = float(value)
     slots = info.get(b"slots", 1.0)
     if not 0 <= slots <= 1_024:
         raise BadMessage(400, "slots out of range")
@@ -74,16 +89,6 @@
                       info.get(b"hint", 0.0), key.decode("latin-1"), request.get(b"client-retry") == b"1")
 
 
-def _number(text: bytes, what: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not math.isfinite(value):
-        raise BadMessage(400, f"bad {what}")
-    return value
-
-
 def answer_parts(side: ClientSide, answer: Answer, close: bool) -> list[bytes]:
     """Put an answer of the dispatch into HTTP."""
     if isinstance(answer, Served):
@@ -100,11 +105,13 @@
     def __init__(self, front: Front, sock: socket.socket, over_budget: bool) -> None:
         """Take over an accepted socket."""
         self.front, self.over_budget = front, over_budget
-        self.stream = Stream(front.scheduler, sock)
+        self.stream = Stream(front.scheduler, sock, ReceiveBuffer(most=BUFFER))
         self.side = ClientSide()
         self.query: Query | None = None
         self.answer: Answer | None = None
         self.leave: Ending | None = None  # set by the front: close if nothing has come
+        self.accepted_ms, self.used = front.clock.now(), False  # used: a whole request has come
+        front.fresh[self] = None
         self.task = front.scheduler.spawn(self.run)
 
     def run(self) -> None:
@@ -122,7 +129,9 @@
         finally:
             if self.query is not None:
                 self.front.dispatch.client_gone(self.query)
+            self.front.fresh.pop(self, None)
             if ending is Ending.BAD_REQUEST:  # an idle link that was shed must give its descriptor back now
+                self.front.lingering[self] = None
                 self.stream.linger(self.front.clock.now() + LINGER_MS)
             self.stream.close()
             self.front.closed(self, ending)
@@ -137,11 +146,9 @@
             except BadMessage as fault:
                 self.front.counters.add(f"answer.bad-request.{fault.status}")
                 self.front.log("bad-request", status=fault.status, why=fault.reason)
-                # Framing is only sure after a whole request: there the connection may stay open.
-                parts = self.side.answer(fault.status, fault.reason.encode(), close=self._closes())
-                if self.side.stage is Stage.CLOSED:
-                    self._write(parts)
-                    return Ending.BAD_REQUEST
+                # Closed even where the framing is sure: who sends such things must not hold a place.
+                self._write(self.side.answer(fault.status, fault.reason.encode(), close=True))
+                return Ending.BAD_REQUEST
             if parts is None:
                 return Ending.CLIENT_LEFT
             if not self._write(parts):
@@ -158,23 +165,28 @@
     def _request(self) -> tuple[Request | None, Ending]:
         """Read the next request, or say how the connection ended."""
         stream, front = self.stream, self.front
-        until, idle = front.clock.now() + IDLE_MS, True
+        until, idle = front.clock.now() + IDLE_MS if self.used else self.accepted_ms + REQUEST_MS, True
         while True:
             request = self.side.receive(stream.buffer)
             if request is not None:
+                self.used = True
+                front.fresh.pop(self, None)
                 return request, Ending.CLIENT_ASKED
             if self.side.wants_continue:
                 self.side.wants_continue = False
                 self._write([b"HTTP/1.1 100 Continue\r\n\r\n"])
             if idle and self.side.stage is not Stage.IDLE:
-                idle, until = False, front.clock.now() + REQUEST_MS
+                idle, until = False, front.clock.now() + REQUEST_MS if self.used else until
+            if self.leave is Ending.SHED and not self.used and not idle:
+                return None, Ending.SHED
             if self.side.stage is Stage.IDLE:
                 if self.leave is not None:
                     if stream.is_quiet():
                         return None, self.leave
                     self.leave = None  # a request came first: it is served
                     front.links.add(self)
-                front.idle[self] = None
+                if self.used:
+                    front.idle[self] = None
             why = stream.readable(until)
             front.idle.pop(self, None)
             if why is Wake.TIMEOUT:
@@ -236,6 +248,8 @@
         self.most = most
         self.links: set[ClientLink] = set()
         self.idle: dict[ClientLink, None] = {}  # longest idle first
+        self.fresh: dict[ClientLink, None] = {}  # no whole request has come yet; longest here first
+        self.lingering: dict[ClientLink, None] = {}  # told what was bad, and not gone yet
         self.stopping = self.closing = False
         self.stopped: bool = False
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -259,7 +273,7 @@
         self._accept_all()  # what the system has accepted for us is ours to answer
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
-        for link in list(self.idle):
+        for link in [*self.idle, *self.fresh]:
             self._close_idle(link, Ending.STOPPING)
         self._check_stopped()
 
@@ -287,22 +301,30 @@
             self.links.add(link)
 
     def _shed(self) -> bool:
-        """Close the client's connection that is idle longest."""
-        link = next(iter(self.idle), None)
+        """Close the connection that is worth least: told off, silent since it came, or idle longest.
+
+        Clients that come by hundreds and say nothing must not push out those that are served. One that has
+        only just connected is left alone, as its first request would fail with the connection.
+        """
+        link = next(iter(self.lingering), None) or next(iter(self.fresh), None)
+        if link is None or (link in self.fresh and self.clock.now() < link.accepted_ms + FRESH_MS):
+            link = next(iter(self.idle), None)
         if link is not None:
             self._close_idle(link, Ending.SHED)
             self.links.discard(link)  # it closes within this round
         return link is not None
 
     def _close_idle(self, link: ClientLink, why: Ending) -> None:
-        self.idle.pop(link, None)
+        for group in (self.idle, self.fresh, self.lingering):
+            group.pop(link, None)
         link.leave = why
         link.task.wake()
 
     def closed(self, link: ClientLink, ending: Ending) -> None:
         """Forget a connection that is closed."""
         self.links.discard(link)
-        self.idle.pop(link, None)
+        for group in (self.idle, self.fresh, self.lingering):
+            group.pop(link, None)
         self.counters.add(f"client.{ending.value}")
         self._check_stopped()
 
