Learn a worker's slots from the jobs that run there, and judge one reset mildly

The node's belief is at fault, not the workers: policy.py _report learned the slots of a kind only from the most that was ever reported free, and a worker under load never shows more than one or two. Ruled out: the front (its way in is 0.2 ms) and the worker links (starts come at once). Now a start note counts the slots that run there for sure, and a reset weighs 0.2: three in a row set aside, and a worker that is gone breaks all its connections, or refuses the next one.

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -20,6 +20,7 @@
 LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
 JUDGE, FLEET = 0.3, 0.02  # weight of one outcome in a worker's failures, in the fleet's (50)
 JUDGE_DEAD = 0.5  # of one that shows a worker is not there: one is enough; of plain errors it takes two
+JUDGE_RESET = 0.2  # of a broken connection: its worker may be well, and one that is gone breaks all of them
 FAILS_TIMES, FAILS_LEAST = 4.0, 0.4  # set aside at so many times the fleet's failures, and so many at least
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
@@ -300,6 +301,7 @@
         worker, slots = attempt.worker, job.event.slots
         attempt.result, job.out = event.result, job.out - 1
         worker.book(-slots, -job.event.memory)
+        worker.running -= slots * (attempt.started_ms > 0.0)
         self.running[job.tenant] -= slots
         self.spill_out -= slots * attempt.spilled
         self._report(worker, event.report)
@@ -328,6 +330,9 @@
         if event.fraction > 0 or not (found := self.jobs.attempt(event)) or found[1].started_ms:
             return
         found[1].started_ms, delay = self.now, self.now - found[1].sent_ms
+        worker = found[1].worker
+        worker.running += found[0].event.slots  # so many it has for sure, also where it is never seen idle
+        self.slots[worker.kind] = max(self.slots[worker.kind], worker.running)
         self._spilled(*found, delay < 0.1 * self.run_ms[found[0].event.job_class])
 
     def _spilled(self, job: JobRecord, attempt: AttemptRecord, had_room: bool) -> None:
@@ -345,7 +350,7 @@
             return
         failed = float(result is not Result.OK)
         self.fleet_failures += FLEET * (failed - self.fleet_failures)
-        judge = JUDGE if result in (Result.OK, Result.ERROR) else JUDGE_DEAD
+        judge = {Result.OK: JUDGE, Result.ERROR: JUDGE, Result.RESET: JUDGE_RESET}.get(result, JUDGE_DEAD)
         worker.failures += judge * (failed - worker.failures)
         if failed:
             self._set_aside(worker)
