Give back the slots of overdue attempts as far as such ones prove dead

Measured: about 4 attempts a second fall silent and each held its worker's slot and its tenant's token until the client's patience of 5 s ended: some 20 slots of about 30. At fault: policy.py knew no overdue attempt; its sends have no time-out. Now an attempt out for over 4 times its expected running time plus 0.1 s gives back its slots and tokens by the chance that such attempts turn out to be dead, learned from how they end; one without a start or progress note for 2.4 s (notes come every 2 s) is given up, and repeated only where its class may be. Several overdue on one worker set it aside, which is what a worker that is cut off looks like.

--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -356,7 +356,11 @@
     worker: WorkerRecord
     sent_ms: float
     spilled: bool  # went beyond our own part
+    heard_ms: float  # its last sign of life
     started_ms: float = 0.0
+    overdue: bool = False
+    freed: float = 0.0  # part of its slots that counts as free, as it is overdue and may be dead
+    cancelled: bool = False
     result: Result | None = None
 
 
@@ -373,6 +377,7 @@
     useful_ms: float  # from here on starting it earns nothing
     attempts: list[AttemptRecord] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
+    freed: float = 0.0  # tokens given back early, as an attempt of it is overdue
     open: bool = True  # its final answer is still owed
     held: bool = False
 
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -12,15 +12,17 @@
 from typing import Any
 
 from pipitledge.interface import (
-    Action, AttemptEnded, AttemptNote, AttemptRecord, ClientGone, Event, Fail, Held, JobArrived, JobRecord,
-    Jobs, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope, Send, SetTimer, Settings,
-    State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
+    NEVER_RAN, Action, AttemptEnded, AttemptNote, AttemptRecord, Cancel, ClientGone, Event, Fail, Held,
+    JobArrived, JobRecord, Jobs, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope, Send,
+    SetTimer, Settings, State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
 
 SAMPLE = 6  # workers looked at for one job: enough to find room, whatever the size of the fleet
 LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
 JUDGE, FLEET = 0.3, 0.02  # weight of one outcome in a worker's failures, in the fleet's (50)
 JUDGE_DEAD = 0.5  # of one that shows a worker is not there: one is enough; of plain errors it takes two
 JUDGE_RESET = 0.2  # of a broken connection: its worker may be well, and one that is gone breaks all of them
+OVERDUE, OVERDUE_MS, JUDGE_OVERDUE = 4.0, 100.0, 0.1  # times its expected running time, and this much more
+SILENT, SILENT_MS = 1.1, 200.0  # times the pace of progress notes, and this much more: it is dead
 FAILS_TIMES, FAILS_LEAST = 4.0, 0.4  # set aside at so many times the fleet's failures, and so many at least
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
@@ -58,6 +60,7 @@
         self.spill, self.spill_out = SPILL_START, 0.0  # slots beyond our arc: what we found free, what is out
         self.aside: dict[str, WorkerRecord] = {}
         self.fleet_failures, self.probe_credit = 0.0, PROBE_BURST
+        self.dead = 0.0  # the chance that an overdue attempt is dead: its connection fell silent, say
         self.tick_ms, self.due_ms = math.inf, math.inf  # next tick; when the first held job must be ended
         self.asked, self.list_failures = not settings.must_ask, 0
         self.handlers: dict[type, Callable[[Any], None]] = {
@@ -148,7 +151,7 @@
     def _close(self, job: JobRecord) -> None:
         """Return the job's tokens, once; its record stays only until its last attempt has ended."""
         job.open = False
-        self.inflight[job.tenant] -= job.event.slots
+        self.inflight[job.tenant] -= job.event.slots - job.freed
         self.held.take(job)
         if not job.out:
             del self.jobs[job.event.job]
@@ -204,7 +207,7 @@
             worker, spilled = self._best(job, own=True, strict=False), False
         if worker is None:
             return False
-        job.attempts.append(AttemptRecord(worker, self.now, spilled))
+        job.attempts.append(AttemptRecord(worker, self.now, spilled, self.now))
         job.out += 1
         self.spill_out += slots * spilled
         self.running[job.tenant] += slots
@@ -298,12 +301,14 @@
         if not (found := self.jobs.attempt(event)):
             return
         job, attempt = found
-        worker, slots = attempt.worker, job.event.slots
+        worker = attempt.worker
         attempt.result, job.out = event.result, job.out - 1
-        worker.book(-slots, -job.event.memory)
-        worker.running -= slots * (attempt.started_ms > 0.0)
-        self.running[job.tenant] -= slots
-        self.spill_out -= slots * attempt.spilled
+        self._release(job, attempt, 1.0 - attempt.freed)
+        if attempt.overdue:
+            died = float(event.result not in (Result.OK, Result.ERROR, *NEVER_RAN))
+            self.dead += JUDGE_OVERDUE * (died - self.dead)
+        else:
+            worker.running -= job.event.slots * (attempt.started_ms > 0.0)
         self._report(worker, event.report)
         self._learn(job, attempt, event.result)
         self._touch(worker)
@@ -319,6 +324,40 @@
             else:
                 self._wait_or_place(job)
 
+    def _release(self, job: JobRecord, attempt: AttemptRecord, part: float) -> None:
+        slots = job.event.slots * part
+        attempt.worker.book(-slots, -job.event.memory * part)
+        self.running[job.tenant] -= slots
+        self.spill_out -= slots * attempt.spilled
+
+    def _doubt(self) -> None:
+        """Look for attempts that are overdue, and give up those that have shown no sign of life.
+
+        A connection may fall silent and stay open. Its job has ended there, but here it would hold its slots
+        until the client's patience ends. A long job looks the same, so of an overdue attempt's slots and
+        tokens that part counts as free which such attempts turn out to be dead. Eighths keep sums even.
+        """
+        notes = self.settings.progress_ms if self.settings.tells_start and self.settings.cancel else math.inf
+        for job in [job for job in self.jobs.values() if job.out]:
+            for number, attempt in enumerate(job.attempts):
+                if attempt.result is not None:
+                    continue
+                worker, expected = attempt.worker, OVERDUE * job.size_ms * math.exp(attempt.worker.slowness)
+                if not attempt.overdue and self.now - (attempt.started_ms or attempt.sent_ms) > (
+                        OVERDUE_MS + expected):
+                    attempt.overdue, attempt.freed = True, round(self.dead * 8.0) / 8.0
+                    worker.running -= job.event.slots * (attempt.started_ms > 0.0)
+                    self._release(job, attempt, attempt.freed)
+                    if job.open and not job.freed:
+                        job.freed = job.event.slots * attempt.freed
+                        self.inflight[job.tenant] -= job.freed
+                    if attempt.freed:  # all of a worker that is cut off will be overdue
+                        self._judge(worker, 1.0, JUDGE * self.dead)
+                    self._touch(worker)
+                if notes < self.now - attempt.heard_ms > SILENT * notes + SILENT_MS and not attempt.cancelled:
+                    attempt.cancelled = True
+                    self.actions.append(Cancel(job.event.job, number))
+
     def _client_gone(self, event: ClientGone) -> None:
         if event.job in self.jobs and self.jobs[event.job].open:
             self._close(self.jobs[event.job])
@@ -327,7 +366,10 @@
 
     def _noted(self, event: AttemptNote) -> None:
         """A start tells whether the worker had room as we thought."""
-        if event.fraction > 0 or not (found := self.jobs.attempt(event)) or found[1].started_ms:
+        if not (found := self.jobs.attempt(event)):
+            return
+        found[1].heard_ms = self.now
+        if event.fraction > 0 or found[1].started_ms or found[1].overdue:
             return
         found[1].started_ms, delay = self.now, self.now - found[1].sent_ms
         worker = found[1].worker
@@ -349,11 +391,9 @@
         if result in (Result.FULL, Result.CANCELLED, Result.MOOT):
             return
         failed = float(result is not Result.OK)
-        self.fleet_failures += FLEET * (failed - self.fleet_failures)
         judge = {Result.OK: JUDGE, Result.ERROR: JUDGE, Result.RESET: JUDGE_RESET}.get(result, JUDGE_DEAD)
-        worker.failures += judge * (failed - worker.failures)
+        self._judge(worker, failed, judge)
         if failed:
-            self._set_aside(worker)
             return
         worker.trial = worker.trial and worker.failures > FAILS_LEAST / 2.0
         worker.trials_failed *= worker.trial
@@ -367,6 +407,12 @@
         if not self.settings.tells_start:
             self._spilled(job, attempt, worker.queued < 1.0)
 
+    def _judge(self, worker: WorkerRecord, failed: float, weight: float) -> None:
+        self.fleet_failures += FLEET * (failed - self.fleet_failures)
+        worker.failures += weight * (failed - worker.failures)
+        if failed:
+            self._set_aside(worker)
+
     def _set_aside(self, worker: WorkerRecord) -> None:
         """Keep new jobs from a worker that fails more than the fleet, until a trial job succeeds."""
         name, fleet = worker.row.id, self.fleet_failures
@@ -456,6 +502,7 @@
         elif event.token == TICK and self.now >= self.tick_ms - 0.01:
             self.tick_ms = math.inf
             self._sweep()
+            self._doubt()
             (self._share_out if self.now > self.shared_out_ms + REWARM_MS else self._refresh)()
             # Where reports come by probes alone, look at a few workers, no more than so many a job.
             while self.settings.must_probe and self.probe_credit >= 1.0 and self.ring:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,6 +10,7 @@
 import pipitledge.policy as policy_module
 from pipitledge.interface import (
     AttemptNote,
+    Cancel,
     ClientGone,
     Fail,
     JobClass,
@@ -453,6 +454,52 @@
     assert driver.policy.slots == [4.0] and driver.policy.workers["w0"].running == 0.0
 
 
+def silent(dead: float, **changes: float) -> tuple[Driver, Send]:
+    """A job that started 10 ms after its send and has said nothing since, on a worker with one slot."""
+    driver = Driver(settings(tells_start=True, progress_ms=2_000.0, cancel=True), workers=1)
+    driver.policy.run_ms, driver.policy.dead, driver.policy.spill = [100.0, 100.0], dead, 0.0
+    [send] = of(driver.job("silent"), Send)
+    driver.tell(AttemptNote("silent", 0, "w0"), after_ms=10)
+    return driver, send
+
+
+@pytest.mark.parametrize("dead, sent", [(1.0, True), (0.0, False)])
+def test_an_overdue_attempt_gives_slots_back_as_far_as_such_ones_are_dead(dead: float, sent: bool) -> None:
+    """Connections that fell silent held their slots for the client's whole patience; long jobs do rightly."""
+    driver, send = silent(dead)
+    driver.tell(TimerFired(0), after_ms=300)
+    assert not of(driver.job("early"), Send) and driver.policy.inflight[0] == 2.0
+    driver.tell(ClientGone("early"))
+    driver.tell(TimerFired(0), after_ms=400)
+    assert driver.policy.inflight[0] == (0.0 if dead else 1.0)
+    assert bool(of(driver.job("late"), Send)) == sent
+    driver.end(send, attempt=0)
+    assert driver.policy.dead == pytest.approx(0.9 * dead)  # this one was alive
+    driver.tell(ClientGone("late"))
+    assert driver.policy.inflight[0] == 0.0
+
+
+def test_an_attempt_without_a_sign_of_life_is_given_up_once() -> None:
+    driver, send = silent(0.0)
+    driver.tell(AttemptNote("silent", 0, "w0", 0.5), after_ms=2_000)  # long, but alive
+    for _ in range(22):
+        assert not of(driver.tell(TimerFired(0), after_ms=100), Cancel)
+    driver.policy.tick_ms = 0.0
+    assert of(driver.tell(TimerFired(0), after_ms=300), Cancel) == [Cancel("silent", 0)]
+    assert not of(driver.tell(TimerFired(0), after_ms=300), Cancel)
+    driver.end(send, Result.CANCELLED)
+    assert driver.policy.dead == pytest.approx(0.1) and not driver.policy.workers["w0"].slots_out
+
+
+def test_a_worker_that_is_cut_off_is_set_aside_before_its_attempts_have_ended() -> None:
+    driver, _ = silent(1.0)
+    driver.policy.slots = [4.0]
+    for index in range(3):
+        driver.job(f"a{index}")
+    driver.tell(TimerFired(0), after_ms=700)
+    assert driver.policy.workers["w0"].trial
+
+
 def test_with_much_of_the_fleet_dead_the_dead_are_still_told_apart() -> None:
     driver = Driver(workers=4)
     driver.learn_slots(2)
--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -10,6 +10,7 @@
 from pipitledge.interface import (
     NEVER_RAN,
     AttemptEnded,
+    AttemptNote,
     ClientGone,
     Fail,
     JobArrived,
@@ -28,7 +29,7 @@
 )
 
 CLASSES = [SAFE, UNSAFE, keyed(Scope.ALL), keyed(Scope.ZONE), keyed(Scope.CELL)]
-STEP = st.tuples(st.sampled_from("jjjjoootlgr"), st.integers(0, 1_000), st.integers(0, 7))
+STEP = st.tuples(st.sampled_from("jjjjooontlgr"), st.integers(0, 1_000), st.integers(0, 7))
 
 
 class Checked:
@@ -104,8 +105,11 @@
 def test_rules_and_tokens_hold(steps: list[tuple[str, int, int]], chosen: list[JobClass], workers: int,
                                tenants: int, instances: int, attempts: int, seed: int) -> None:
     use = settings(classes=tuple(chosen), tenants=tuple(Tenant(1.0 + i) for i in range(tenants)), zones=2,
-                   instances=instances, number=instances // 2, max_attempts=attempts)
+                   instances=instances, number=instances // 2, max_attempts=attempts, tells_start=True,
+                   progress_ms=50.0, cancel=True)
     checked = Checked(Driver(use, workers=0, seed=seed))
+    checked.driver.policy.run_ms = [5.0] * len(chosen)  # so that attempts come to be overdue
+    checked.driver.policy.dead = seed / 99.0
     rows = [Worker(f"w{i % 2}{i % 3}{i}", zone=i % 2, cell=10 * (i % 2) + i % 3) for i in range(workers)]
     checked.states = {row.id: State.SERVING for row in rows}
     checked.driver.list(rows, Listing.CACHED)
@@ -126,6 +130,9 @@
             state = list(State)[b % 3]
             checked.states[row.id] = state
             checked.tell(WorkersChanged(Listing.DELTA, (row._replace(state=state),)))
+        elif step == "n" and checked.outstanding():
+            job, index = checked.outstanding()[a % len(checked.outstanding())]
+            checked.tell(AttemptNote(job, index, checked.sends[job][index][0], b / 8.0))
         elif step == "r":
             checked.tell(AttemptEnded(f"j{a}", b, "nobody", Result.OK, 1.0, True))  # for nothing of ours
         for _ in range(a // 20 if step == "t" else 0):
@@ -133,9 +140,15 @@
             checked.overdue()
         policy = checked.driver.policy
         assert min(policy.inflight) >= 0 and min(policy.running) >= 0
-        assert sum(policy.inflight) == sum(job.event.slots for job in policy.jobs.values() if job.open)
+        assert sum(policy.inflight) == sum(
+            job.event.slots - job.freed for job in policy.jobs.values() if job.open)
+        assert all(worker.slots_out >= 0 and worker.running >= 0 for worker in policy.workers.values())
         assert {job.event.job for job in policy.jobs.values() if job.open} == set(checked.open)
     while checked.open:
         checked.tell(TimerFired(0), after_ms=1.0)
         checked.overdue()
-    assert sum(checked.driver.policy.inflight) == 0
+    policy = checked.driver.policy
+    while checked.outstanding():
+        checked.end(0, 0)
+    assert sum(policy.inflight) == sum(policy.running) == policy.spill_out == 0 and not policy.jobs
+    assert all(worker.slots_out == worker.running == 0 for worker in policy.workers.values())
