Take room at other nodes' workers from how soon jobs start there

Checked with a trace of refusals: the spill is 0 or a few slots; the other arc's workers stand at 0 free by reports 700 to 1,300 ms old and are not tried; the one that reported 3 free got 10 jobs, as the same old report came with each answer. At fault: policy.py _room and FRESH_MS: a report is refreshed each second and comes late, jobs take a tenth of that. Now a start note tells of room there (at once: one more; after a wait: none), what was heard counts for 0.3 s, and no worker elsewhere gets more than two jobs beyond its slots.

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -27,11 +27,11 @@
 FAILS_TIMES, FAILS_LEAST = 4.0, 0.4  # set aside at so many times the fleet's failures, and so many at least
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
-FRESH_MS = 1_500.0  # an older report says nothing of the slots that are free now
+FRESH_MS, BEYOND = 300.0, 2.0  # what was last heard of room elsewhere counts for so long; slots beyond ours
 COLD_SAFETY = 0.5  # part of the cold budget in use: sizes are unknown, and lists differ a little
 BUSY_MS, IDLE_MS, REWARM_MS = 40.0, 200.0, 500.0  # ticks with and without held jobs, for cold workers
 PROBE_SHARE, PROBE_BURST = 0.1, 4.0  # probes a job and at once, where reports come no other way
-WAITING = 0.5  # part of the wait that jobs can afford that admission plans with: it is a mean
+WAITING = 0.35  # part of the wait that jobs can afford that admission plans with: it is a mean
 FAR = 0.1  # how much emptier or faster a worker must be to send across zones
 SLOTS_START = 4.0
 SPILL_START = 8.0  # slots tried beyond our part before anything is known
@@ -241,8 +241,12 @@
             return 0.0 if worker.slots_out > 0 else slots
         if own:
             return round(max(1.0, worker.part * slots)) - worker.slots_out
-        guess = slots * 0.5 - worker.slots_out + 0.5 if worker.slots_out else math.inf
-        return worker.free if self.now - worker.reported_ms < FRESH_MS else guess
+        if not worker.slots_out and self.now - worker.reported_ms >= FRESH_MS:
+            return math.inf
+        fresh = self.now - worker.reported_ms < FRESH_MS
+        free = worker.free if fresh else 0.5 * slots + 0.5 - worker.slots_out
+        # A report is a second old when it comes: all that it shows free would go there over and over.
+        return min(free, slots + BEYOND - worker.slots_out) if self.settings.instances > 1 else free
 
     def _allowed(self, job: JobRecord, worker: WorkerRecord, strict: bool) -> bool:
         """What binds this job to workers: kind, memory, trials with safe jobs, repeat group, cold budget."""
@@ -396,7 +400,11 @@
             return
         found[1].started_ms, delay = self.now, self.now - found[1].sent_ms
         found[1].worker.started_ms = max(found[1].worker.started_ms, found[1].sent_ms)
-        self._spilled(*found, delay < 0.1 * self.run_ms[found[0].event.job_class])
+        had_room = delay < 0.1 * self.run_ms[found[0].event.job_class]
+        if found[1].spilled:  # it tells more of room there than a report: it is of now
+            found[1].worker.free = max(1.0, found[1].worker.free) + 1.0 if had_room else 0.0
+            found[1].worker.reported_ms = self.now
+        self._spilled(*found, had_room)
 
     def _spilled(self, job: JobRecord, attempt: AttemptRecord, had_room: bool) -> None:
         """What others leave free: grows with work taken at once, falls where it was full or had to wait."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -481,6 +481,26 @@
     assert driver.policy.slots == [pytest.approx(8.0 - 0.1 * 5.0 if lower else 8.0)]
 
 
+@pytest.mark.parametrize("after_ms, free", [(1.0, 2.0), (200.0, 0.0)])
+def test_elsewhere_a_start_at_once_tells_of_more_room_and_a_late_one_of_none(
+        after_ms: float, free: float) -> None:
+    """Reports are a second old when they come: a node left alone refused while the others' workers idled."""
+    driver = Driver(settings(instances=9, number=0, tells_start=True), workers=9)
+    sends = [send for index in range(9) for send in of(driver.job(f"a{index}"), Send)]
+    send = next(send for send in sends if driver.policy.jobs[send.job].attempts[0].spilled)
+    driver.tell(AttemptNote(send.job, 0, send.worker), after_ms=after_ms)
+    worker = driver.policy.workers[send.worker]
+    assert (worker.free, worker.reported_ms) == (free, driver.now)
+
+
+def test_what_a_late_report_shows_free_does_not_all_go_to_one_worker_elsewhere() -> None:
+    driver = Driver(settings(instances=9, number=0, tells_start=True), workers=9)
+    worker = next(worker for worker in driver.policy.ring if not worker.part)
+    worker.free, worker.slots_out, worker.reported_ms = 10.0, 5.0, driver.now
+    driver.policy.now = driver.now
+    assert driver.policy._room(worker, own=False) == 4.0 + policy_module.BEYOND - 5.0
+
+
 def silent(dead: float, **changes: float) -> tuple[Driver, Send]:
     """A job that started 10 ms after its send and has said nothing since, on a worker with one slot."""
     driver = Driver(settings(tells_start=True, progress_ms=2_000.0, cancel=True), workers=1)
