Share out descriptors and memory for the smallest limits, and close links as silent as a dead attempt

At fault: no count of bodies, and client_side.reject kept what had come of a refused body while its connection lingers. At 256 descriptors 54 were for server links, fewer than 13 workers of 5 slots take; running out of one ended as CONNECT_FAILED, which set the worker aside that had nothing to do with it. Now 86, and NO_SOCKET is FULL. Accepting hundreds in one round closed those who make room only afterwards: at most 12 a round now. A worker that is cut off took one job after the other on idle links that were open and dead; those that have been silent as long as an attempt that was given up are now closed, and a new connection that never comes up proves that the job never ran. After failed calls the next one came up to 15 s later, while news counts as told after 6 s, so that a drain could be missed: now within 2.3 s with up to 3 nodes.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -21,7 +21,24 @@
 
 # Descriptors: standard streams, signals, listener, watch and its successor, and some that libraries open.
 BASE = 24
-LINK_SHARE = 0.25  # of the rest, for server links
+# Of the rest, for server links: clients need a third of all for requests, and the widest list of workers
+# takes a connection for each of its slots.
+LINK_SHARE = 0.4
+
+
+OURS_MB, BODIES_SHARE = 24, 0.5  # the program with all its connections; of the rest, for clients' bodies
+
+
+def budget(sockets: int) -> tuple[int, int]:
+    """Share out the descriptors: those for clients and those for server links."""
+    spare = max(16, sockets - BASE - SPARE)
+    links = max(4, int(spare * LINK_SHARE))
+    return spare - links, links
+
+
+def bodies(memory_mb: int) -> int:
+    """Bytes of clients' bodies that may be held at one time."""
+    return max(2 << 20, int((memory_mb - OURS_MB) * BODIES_SHARE) << 20)
 
 
 def main() -> int:
@@ -69,15 +86,14 @@
         return 2
     policy = Policy(told.settings, told.seed)
     dispatch = Dispatch(clock, timers, policy, counters, log)
-    spare = max(16, told.sockets - BASE - SPARE)
-    links = max(4, int(spare * LINK_SHARE))
+    clients, links = budget(told.sockets)
     pool = Pool(scheduler, clock, dispatch, counters, log, told.dial_timeout_ms, told.idle_ms, links)
     group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names)
     dispatch.links, dispatch.watch = pool, group.watch
     scheduler.after_round = dispatch.round
     group.start(told.known)
-    front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen,
-                  spare - links)
+    front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen, clients,
+                  bodies(told.memory_mb))
 
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=links)
--- a/pipitledge/http1/client_side.py
+++ b/pipitledge/http1/client_side.py
@@ -56,6 +56,11 @@
     _seen: int = 0
     _blank: int = 0
 
+    @property
+    def held(self) -> int:
+        """Bytes of the body that have come so far."""
+        return self._body.total if self.stage is Stage.BODY and self._body is not None else 0
+
     def receive(self, buffer: ReceiveBuffer) -> Request | None:
         """Take what has come; a request once it is whole. BadMessage ends the connection after its answer."""
         if self.stage in (Stage.TAKEN, Stage.CLOSED):
@@ -104,7 +109,8 @@
 
     def reject(self) -> None:
         """Give up a request that has not come whole: it is answered, and the connection closed after it."""
-        self.stage, self._request = Stage.TAKEN, None
+        self.stage, self._request, self._body = Stage.TAKEN, None, None
+        self._parts.clear()  # the connection lingers for a while, and there may be hundreds
 
     def answer(self, status: int, body: bytes, fields: Sequence[bytes] = (),
                close: bool = False) -> list[bytes]:
--- a/pipitledge/node/endings.py
+++ b/pipitledge/node/endings.py
@@ -52,7 +52,7 @@
     Ending.HANDED_BACK: Result.FULL,
     Ending.JOB_LOST: Result.RESET,
     Ending.NO_ADDRESS: Result.CONNECT_FAILED,
-    Ending.NO_SOCKET: Result.CONNECT_FAILED,
+    Ending.NO_SOCKET: Result.FULL,  # ours to run out of, and no failure of the worker
     Ending.DIAL_REFUSED: Result.CONNECT_FAILED,
     Ending.DIAL_TIMEOUT: Result.CONNECT_FAILED,
     Ending.BROKEN_BEFORE_SENT: Result.CONNECT_FAILED,
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -37,6 +37,7 @@
 STOP_MS = 500.0  # at the least: connections still come for 0.2 to 0.4 s
 ACCEPT_AGAIN_MS = 20.0  # without a descriptor to spare
 SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
+AT_ONCE = 12  # accepted in a round: who makes room for them closes in the next, and the tasks need their turn
 BUSY_RETRY_S = b"1"
 MAX_PATIENCE_MS = 600_000.0
 BUFFER = 20 * 1024  # a whole head and a little more; bodies are taken out as they come
@@ -109,6 +110,7 @@
         self.side = ClientSide()
         self.query: Query | None = None
         self.answer: Answer | None = None
+        self.held = 0  # bytes of a body, until its query is answered
         self.leave: Ending | None = None  # set by the front: close if nothing has come
         self.accepted_ms, self.used = front.clock.now(), False  # used: a whole request has come
         front.fresh[self] = None
@@ -129,6 +131,7 @@
         finally:
             if self.query is not None:
                 self.front.dispatch.client_gone(self.query)
+            self._hold(0)
             self.front.fresh.pop(self, None)
             if ending is Ending.BAD_REQUEST:  # an idle link that was shed must give its descriptor back now
                 self.front.lingering[self] = None
@@ -147,7 +150,8 @@
                 self.front.counters.add(f"answer.bad-request.{fault.status}")
                 self.front.log("bad-request", status=fault.status, why=fault.reason)
                 # Closed even where the framing is sure: who sends such things must not hold a place.
-                self._write(self.side.answer(fault.status, fault.reason.encode(), close=True))
+                advice = [b"Retry-After: " + BUSY_RETRY_S] if fault.status == 503 else []
+                self._write(self.side.answer(fault.status, fault.reason.encode(), advice, close=True))
                 return Ending.BAD_REQUEST
             if parts is None:
                 return Ending.CLIENT_LEFT
@@ -156,6 +160,14 @@
             if self.side.stage is Stage.CLOSED:
                 return Ending.STOPPING if self._closes() else Ending.CLIENT_ASKED
 
+    def _hold(self, size: int) -> None:
+        """Count what is held of a body; over the budget of all together it is refused: memory must last."""
+        self.front.held += size - self.held
+        grown, self.held = size > self.held, size
+        if grown and self.front.held > self.front.most_held:
+            self.side.reject()
+            raise BadMessage(503, "no memory for the body")
+
     def _closes(self) -> bool:
         return self.front.closing or self.over_budget
 
@@ -168,6 +180,7 @@
         until, idle = front.clock.now() + IDLE_MS if self.used else self.accepted_ms + REQUEST_MS, True
         while True:
             request = self.side.receive(stream.buffer)
+            self._hold(len(request.body) if request is not None else self.side.held)
             if request is not None:
                 self.used = True
                 front.fresh.pop(self, None)
@@ -230,6 +243,7 @@
                 except OverflowError:
                     reads = False  # it sends more out of turn than we keep: look at it after the answer
         self.query, answer = None, self.answer
+        self._hold(0)
         return answer_parts(self.side, answer, self._closes())
 
     def _reply(self, answer: Answer) -> None:
@@ -241,11 +255,11 @@
     """Listens, keeps the clients' connections within the budget, and stops in order."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
-                 names: Names, settings: Settings, listen: Address, most: int) -> None:
+                 names: Names, settings: Settings, listen: Address, most: int, most_held: int) -> None:
         """Open the listening socket; at most `most` clients are served, a few more are turned away."""
         self.scheduler, self.clock, self.dispatch = scheduler, clock, dispatch
         self.counters, self.log, self.names, self.settings = counters, log, names, settings
-        self.most = most
+        self.most, self.most_held, self.held = most, most_held, 0
         self.links: set[ClientLink] = set()
         self.idle: dict[ClientLink, None] = {}  # longest idle first
         self.fresh: dict[ClientLink, None] = {}  # no whole request has come yet; longest here first
@@ -270,16 +284,16 @@
                 self.fault()
                 room = False
             until = math.inf if room else self.clock.now() + ACCEPT_AGAIN_MS
-        self._accept_all()  # what the system has accepted for us is ours to answer
+        self._accept_all(1 << 10)  # what the system has accepted for us is ours to answer
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
         for link in [*self.idle, *self.fresh]:
             self._close_idle(link, Ending.STOPPING)
         self._check_stopped()
 
-    def _accept_all(self) -> bool:
-        """Accept all that wait; False if there is no room for more just now."""
-        while True:
+    def _accept_all(self, most: int = AT_ONCE) -> bool:
+        """Accept some of those that wait; False if there is no room for more just now."""
+        for _ in range(most):
             if len(self.links) >= self.most + SPARE and not self._shed():
                 return False
             try:
@@ -299,6 +313,7 @@
             if self.closing:
                 link.leave = Ending.STOPPING
             self.links.add(link)
+        return True
 
     def _shed(self) -> bool:
         """Close the connection that is worth least: told off, silent since it came, or idle longest.
--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -85,7 +85,7 @@
         self.pool, self.worker, self.address = pool, worker, address
         self.execution: Execution | None = execution
         self.stream: Stream | None = None
-        self.retired = False
+        self.retired, self.heard_ms = False, -math.inf
         self.task: Task = pool.scheduler.spawn(self.run)
         execution.wake = self.task.wake
 
@@ -106,6 +106,8 @@
             if self.stream is not None:
                 self.stream.close()
             if self.execution is not None:
+                if ending in (Ending.OUT_OF_TIME, Ending.CALLED_OFF):
+                    self.pool.doubt(self.worker, self.execution.sent_ms)
                 self._end(ending)
 
     def _end(self, ending: Ending, report: dict[str, float] | None = None, result: bytes = b"") -> None:
@@ -160,6 +162,7 @@
                 return Ending.OUT_OF_TIME
             try:
                 size = stream.read()
+                self.heard_ms = self.pool.clock.now()
                 lines = side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
             except OSError:
                 return Ending.BROKEN_AFTER_SENT
@@ -256,6 +259,17 @@
         """Put a link back that can be used again."""
         self.idle.setdefault(link.worker, []).append(link)
 
+    def doubt(self, worker: str, since_ms: float) -> None:
+        """Close the idle links to a worker that have said nothing for as long as an execution that got none.
+
+        A machine that is cut off leaves its connections open and silent: one after the other would take an
+        execution that may have run, where a new connection that never comes up proves that it has not.
+        """
+        for link in self.idle.get(worker, [])[:]:
+            if link.heard_ms < since_ms:
+                self.idle[worker].remove(link)
+                link.task.wake()
+
     def closed(self, link: ServerLink) -> None:
         """Forget a link."""
         self.links.discard(link)
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -35,6 +35,7 @@
 FAR = 0.1  # how much emptier or faster a worker must be to send across zones
 SLOTS_START = 4.0
 SPILL_START = 8.0  # slots tried beyond our part before anything is known
+ASK_AGAIN_MS, ASK_EACH_MS = 1_500.0, 400.0  # longest wait after a failed call, and that for each scheduler
 TICK, LIST = 0, 1  # timer tokens
 # Once an attempt may have run, (another send, a refusal) is harmless; KEYED sends only inside its group.
 HARMLESS = {Repeat.SAFE: (True, True), Repeat.KEYED: (True, False), Repeat.UNSAFE: (False, False)}
@@ -469,7 +470,9 @@
         """Follow the list: a draining or gone worker gets nothing from this moment on."""
         if event.listing is Listing.FAILED:  # ask again, later each time and never all at once
             self.list_failures += 1
-            wait = min(self.settings.ask_every_ms, 500.0 * 2.0**self.list_failures)
+            # News counts as told after seconds, heard or not; but many schedulers must not ask all the time.
+            most = max(ASK_AGAIN_MS, ASK_EACH_MS * self.settings.instances)
+            wait = min(self.settings.ask_every_ms, most, 250.0 * 2.0**self.list_failures)
             self.actions.append(SetTimer(wait * (0.5 + self.random.random()), LIST))
             return
         self.list_failures, changed = 0, False
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -393,6 +393,29 @@
     assert read(fars[0]) is None and read(fars[1]) == b"" and read(fars[2]) == b""
 
 
+def test_many_at_once_are_accepted_in_portions(rig: Rig) -> None:
+    """Who makes room for them closes only in the next round: descriptors must last until then."""
+    front, listener, _ = listening(rig, 2 * front_module.AT_ONCE + 1)
+    front.most = 1_000
+    for left in (front_module.AT_ONCE + 1, 1, 0):
+        assert front._accept_all() and len(listener.queue) == left
+
+
+def test_bodies_over_the_budget_are_refused_and_the_others_stay(rig: Rig) -> None:
+    one, two = rig.client()[0], rig.client()[0]
+    rig.front.most_held = 100_000
+    for far, name in ((one, "one"), (two, "two")):
+        far.send(request(name, bytes(60_000)))
+        for _ in range(4):
+            rig.settle()
+    assert b"503" in (answer := read(two) or b"") and b"Retry-After: 1\r\n" in answer and read(two) is None
+    assert rig.dispatch.open == 1 and rig.front.held == 60_000
+    assert not any(link.side._parts for link in rig.front.lingering)  # what came of it is given up at once
+    rig.dispatch._answer(rig.dispatch.queries["one"], Served(b"x"))
+    rig.settle()
+    assert b"200" in (read(one) or b"") and rig.front.held == 0
+
+
 def test_out_of_descriptors_it_sheds_an_idle_client_and_goes_on(rig: Rig) -> None:
     front, listener, fars = listening(rig, 1)
     assert front._accept_all()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,7 +11,9 @@
 
 import pytest
 
+from pipitledge.__main__ import BASE, bodies, budget
 from pipitledge.node import config
+from pipitledge.node.front import AT_ONCE, SPARE
 
 ROOT = pathlib.Path(__file__).parent.parent
 STATED = {
@@ -50,6 +52,18 @@
         config.load({"BALANCER_CONFIG": str(path)})
 
 
+@pytest.mark.parametrize("sockets", [256, 384, 1_024])
+def test_descriptors_go_round_at_every_limit(sockets: int) -> None:
+    """A third of all for clients' requests, and links for the widest list: 13 workers of 5 slots."""
+    clients, links = budget(sockets)
+    assert clients >= sockets / 3 and links >= 13 * 5
+    assert BASE + SPARE + clients + links <= sockets and BASE - AT_ONCE >= 10
+
+
+def test_bodies_fit_into_the_memory_that_is_left() -> None:
+    assert 2 << 20 <= bodies(32) <= 12 << 20 and 64 << 20 < bodies(192) < 172 << 20
+
+
 class Node:
     """The program as a process of its own, on a port that nobody has just now."""
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -234,6 +234,15 @@
     assert len(delays) > 10
 
 
+@pytest.mark.parametrize("instances, most_ms", [(2, 2_250.0), (20, 12_000.0)])
+def test_after_many_failed_calls_a_small_tier_still_asks_soon(instances: int, most_ms: float) -> None:
+    """News counts as told after 6 s: a drain that is heard of later breaks a rule."""
+    driver = Driver(settings(must_ask=True, instances=instances, number=0), workers=0)
+    told = [driver.tell(WorkersChanged(Listing.FAILED)) for _ in range(200)]
+    waits = [timer.delay_ms for actions in told for timer in of(actions, SetTimer) if timer.token == 1]
+    assert len(waits) > 200 and max(waits) <= most_ms < 1.1 * max(waits)
+
+
 # ---- ring and cold workers
 
 
