Keep workers that are well for what must not be repeated, and set fewer aside

At fault: policy.py _set_aside (FAILS_LEAST 0.4, passed by two errors in a row) takes up to half of the fleet away, and _best did not look at failures at all, so that slot-book, which must not be repeated, went to failing workers as readily as the others.

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -24,7 +24,9 @@
 OVERDUE, OVERDUE_MS, JUDGE_OVERDUE = 4.0, 100.0, 0.1  # times its expected running time, and this much more
 SILENT, SILENT_MS = 1.1, 200.0  # times the pace of progress notes, and this much more: it is dead
 SETTLED_MS, SETTLE = 20.0, 0.1  # a start or a wait is no matter of messages crossing; weight of a wait
-FAILS_TIMES, FAILS_LEAST = 4.0, 0.4  # set aside at so many times the fleet's failures, and so many at least
+FAILS_TIMES, FAILS_LEAST = 4.0, 0.55  # set aside at so many times the fleet's failures, and so many at least
+# How much faster a worker that fails has to be: those that are well are kept for what must not be repeated.
+SHY = {Repeat.SAFE: 0.5, Repeat.KEYED: 1.0, Repeat.UNSAFE: 4.0}
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
 FRESH_MS, BEYOND = 300.0, 2.0  # what was last heard of room elsewhere counts for so long; slots beyond ours
@@ -227,6 +229,7 @@
         for worker in self.random.sample(pool, min(SAMPLE, len(pool))):
             room, far = self._room(worker, own), FAR * (worker.zone != self.settings.zone)
             score = min(1.0, room / self.slots[worker.kind]) - worker.slowness + math.log(worker.warm) - far
+            score -= SHY[job.cls.repeat] * worker.failures  # while others have room; errors beat refusals
             # A job larger than any small part would never go: a worker without a job of ours takes it.
             room = math.inf if room > 0 and not worker.slots_out and own else room
             if room >= job.event.slots and score > best_score and self._allowed(job, worker, strict):
