--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -287,7 +287,7 @@
         self._accept_all(1 << 10)  # what the system has accepted for us is ours to answer
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
-        for link in [*self.idle, *self.fresh]:
+        for link in [*self.idle, *self.fresh, *self.lingering]:
             self._close_idle(link, Ending.STOPPING)
         self._check_stopped()
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -482,6 +482,17 @@
     assert front.stopped
 
 
+def test_who_was_told_off_does_not_hold_up_the_end(rig: Rig) -> None:
+    front, _, fars = listening(rig, 1)
+    assert front._accept_all()
+    fars[0].send(b"POST / nonsense\r\n\r\n")
+    rig.settle()
+    front.accepting = rig.scheduler.spawn(front._accept)
+    front._close()
+    rig.settle(1.0)
+    assert front.stopped
+
+
 def test_what_comes_after_sigterm_is_answered_before_sigkill_may_come(rig: Rig) -> None:
     front, _, fars = listening(rig, 1)
     assert front._accept_all()
