Let the module follow a plan of attempts that comes with each job

A job may carry a Plan: attempts, outcomes to go on after, time-outs by attempt and in total, longest hold, back-off, second copy after a delay or a learned percentile. The module asks it before each further send; a timer that was overtaken by a send or an ending counts for nothing.

--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -8,10 +8,11 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import NamedTuple
+from random import Random
+from typing import NamedTuple, Protocol
 
 
 class Repeat(Enum):
@@ -43,6 +44,7 @@
     MOOT = "moot"
 
 
+FIRST_LATER = 2  # timer tokens from here on are those of Later
 NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT})
 
 
@@ -157,6 +159,54 @@
         return self.probes and self.free_slots_field != "" and not self.reports_with_answers
 
 
+# ---------------------------------------------------------------- plans
+
+
+class Learned(Protocol):
+    """What a class's plan draws on that changes as jobs run: its retry budget and its times to an answer."""
+
+    def arrived(self, now_ms: float) -> None:
+        """Count a first try."""
+
+    def spend(self, now_ms: float) -> bool:
+        """Take one further attempt from the retry budget; False if none is left."""
+
+    def served(self, took_ms: float) -> None:
+        """Note how long an attempt took that served."""
+
+    def percentile_ms(self, share: float) -> float:
+        """The time in which this share of attempts served; infinite until enough are known."""
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Plan:
+    """What an operator allows for a request's attempts. The default allows all that the class's rules do."""
+
+    attempts: int = 1 << 30  # sends in all, copies included
+    retry_on: frozenset[Result] = frozenset(Result)  # it goes on while all that ended did so in one of these
+    attempt_ms: float = 0.0  # time-out of an attempt; 0: none of its own
+    total_ms: float = math.inf  # from arrival to the answer
+    hold_ms: float = math.inf  # longest wait for room, each time it waits
+    backoff_ms: tuple[float, float] = (0.0, 0.0)  # from one's end to the next; a range
+    copy_ms: float = math.inf  # an attempt out for so long may get a second copy
+    copy_share: float = 0.0  # the same, at the time in which this share of attempts served; 0: not by it
+    learned: Learned | None = None
+
+    def wait_ms(self, random: Random) -> float:
+        """Draw a back-off."""
+        least, most = self.backoff_ms
+        return random.uniform(least, most) if most > 0.0 else 0.0
+
+    def copy_after_ms(self) -> float:
+        """How long an attempt is out before its copy; infinite: it gets none."""
+        if self.copy_share and self.learned is not None:
+            return self.learned.percentile_ms(self.copy_share)
+        return self.copy_ms
+
+
+UNLIMITED = Plan()
+
+
 # ---------------------------------------------------------------- events
 
 
@@ -191,6 +241,12 @@
     hint_ms: float = 0.0
     key: str = ""
     is_retry: bool = False
+    plan: Plan = UNLIMITED
+
+    @property
+    def lasts_ms(self) -> float:
+        """How long it may take: the client's patience, or less where its plan says so."""
+        return min(self.patience_ms, self.plan.total_ms)
 
 
 class AttemptEnded(NamedTuple):
@@ -380,6 +436,22 @@
     freed: float = 0.0  # tokens given back early, as an attempt of it is overdue
     open: bool = True  # its final answer is still owed
     held: bool = False
+    held_until: float = math.inf  # where it is held: given up if it was not sent by then
+
+    def may_send(self, most: int, at_ms: float) -> bool:
+        """Whether its plan lets it be sent once more at that time, and that can still earn something."""
+        plan = self.event.plan
+        return (len(self.attempts) < min(most, plan.attempts) and at_ms < self.useful_ms
+                and all(a.result is None or a.result in plan.retry_on for a in self.attempts)
+                and (plan.learned is None or not self.attempts or plan.learned.spend(at_ms)))
+
+    def may_copy(self, settings: Settings, at_ms: float) -> bool:
+        """Whether settings and plan let a second copy go out beside what is out."""
+        return settings.second_copies and self.may_send(settings.max_attempts, at_ms)
+
+    def is_out_at(self, worker: WorkerRecord) -> bool:
+        """Whether an attempt of it is out at this worker: a copy belongs elsewhere."""
+        return self.out > 0 and any(a.worker is worker and a.result is None for a in self.attempts)
 
     def maybe_ran(self) -> AttemptRecord | None:
         """The first attempt that is still out or may have run."""
@@ -397,15 +469,46 @@
         attempt = job.attempts[event.attempt]
         return None if attempt.result is not None else (job, attempt)
 
+    def out(self) -> Iterator[tuple[JobRecord, int, AttemptRecord]]:
+        """All attempts without an outcome, with their jobs and numbers."""
+        for job in self.values():
+            for number, attempt in enumerate(job.attempts if job.out else ()):
+                if attempt.result is None:
+                    yield job, number, attempt
+
+
+class Later(dict[int, tuple[JobRecord, tuple[int, int]]]):
+    """Jobs that a timer is to bring up again: a back-off that ends, or an attempt due a second copy.
+
+    A timer can't be taken back. One counts only if since then nothing was sent for its job and nothing of it
+    ended: a copy's timer must neither end the back-off that came after it nor copy the attempt after that.
+    """
+
+    def put(self, job: JobRecord, delay_ms: float) -> SetTimer:
+        """Bring a job up again after so long."""
+        token = FIRST_LATER + self.count
+        self.count += 1
+        self[token] = job, (len(job.attempts), job.out)
+        return SetTimer(delay_ms, token)
+
+    def take(self, token: int) -> JobRecord | None:
+        """The job whose timer this is, if it is still open and as it was."""
+        job, state = self.pop(token, (None, (0, 0)))
+        return job if job is not None and job.open and (len(job.attempts), job.out) == state else None
+
+    count = 0
+
 
 class Held(dict[tuple[int, int], deque[JobRecord]]):
     """Waiting jobs: a queue for each tenant and class that has any."""
 
-    def put(self, job: JobRecord, first: bool) -> None:
-        """Let a job wait, at the head or the end of its queue."""
+    def put(self, job: JobRecord, first: bool, now_ms: float) -> float:
+        """Let a job wait, at the head or the end of its queue; until when it may is returned."""
+        job.held_until = min(job.useful_ms, now_ms + job.event.plan.hold_ms)
         queue = self.setdefault((job.tenant, job.event.job_class), deque())
         (queue.appendleft if first else queue.append)(job)
         job.held = True
+        return job.held_until
 
     def take(self, job: JobRecord) -> None:
         """Take a job out, if it waits."""
--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -112,8 +112,10 @@
         if arrival.job in self.queries:
             return None
         query = Query(arrival, passage, reply)
-        early = min(EARLY_MS, EARLY_SHARE * arrival.patience_ms)
-        query.deadline_ms = min(self.clock.now() + arrival.patience_ms - early, self.end_by_ms)
+        early = min(EARLY_MS, EARLY_SHARE * arrival.lasts_ms)
+        query.deadline_ms = min(self.clock.now() + arrival.lasts_ms - early, self.end_by_ms)
+        if arrival.plan.learned is not None:
+            arrival.plan.learned.arrived(self.clock.now())
         query.overdue = self.timers.at(query.deadline_ms + OVERDUE_MS, lambda: self._overdue(query))
         self.queries[arrival.job] = query
         self.open += 1
@@ -146,6 +148,8 @@
         execution.ended, query = True, execution.query
         query.out.pop(execution.number, None)
         self.counters.add(f"execution.{ending.value}")
+        if ending is Ending.SERVED and query.arrival.plan.learned is not None:
+            query.arrival.plan.learned.served(self.clock.now() - execution.sent_ms)
         if ending is Ending.SERVED and query.open:
             self._answer(query, Served(result))
         elif not query.open and not query.out:
@@ -221,6 +225,8 @@
             self.ended(execution, Ending.NEVER_SENT)
         else:
             self.counters.add("execution.started")
+            if execution.number:
+                self.counters.add("execution.copy" if len(query.out) > 1 else "execution.again")
             self.links.start(execution)
 
     def _cancel(self, action: api.Cancel) -> None:
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -13,8 +13,8 @@
 
 from pipitledge.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptNote, AttemptRecord, Cancel, ClientGone, Event, Fail, Held,
-    JobArrived, JobRecord, Jobs, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope, Send,
-    SetTimer, Settings, State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
+    JobArrived, JobRecord, Jobs, Later, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope,
+    Send, SetTimer, Settings, State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
 
 SAMPLE = 6  # workers looked at for one job: enough to find room, whatever the size of the fleet
 LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
@@ -49,7 +49,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random, self.now = settings, random.Random(seed), 0.0
         self.actions: list[Action] = []
-        self.jobs, self.held = Jobs(), Held()
+        self.jobs, self.held, self.later = Jobs(), Held(), Later()
         shares = sum(tenant.share for tenant in settings.tenants) or 1.0
         self.shares = [tenant.share / shares for tenant in settings.tenants]
         # By tenant: tokens, that is slots of admitted jobs, held or sent; slots of sent jobs.
@@ -142,7 +142,7 @@
         born = self.now - (max(0.0, cls.deadline_ms - event.patience_ms) if event.is_retry else 0.0)
         grows = max(0.0, cls.stretch - 1.0) * size
         wait, useful = cls.objective_ms + grows, born + cls.objective_ms + 1.5 * grows  # it may be a long one
-        end, tick = self.now + event.patience_ms, self.settings.resolution_ms
+        end, tick = self.now + event.lasts_ms, self.settings.resolution_ms
         useful = min(max(useful, end - 1.5 * size if cls.late_share else 0.0), end - 4.0 * tick)
         tenant = min(event.tenant, len(self.shares) - 1)
         job = JobRecord(event, cls, tenant, max(1.0, size), wait, born, useful)
@@ -167,8 +167,7 @@
     def _wait_or_place(self, job: JobRecord) -> None:
         """Send at once, or let the job wait; one that was sent before goes ahead of those that were not."""
         if self.held or not self._place(job):
-            self.held.put(job, first=bool(job.attempts))
-            self.due_ms = min(self.due_ms, job.useful_ms)
+            self.due_ms = min(self.due_ms, self.held.put(job, bool(job.attempts), self.now))
 
     def _dispatch(self) -> None:
         """Send held jobs while workers have room: tenants within their reservation first, then by worth."""
@@ -197,9 +196,9 @@
         """End held jobs that can earn nothing more, while the answer is still in time."""
         jobs = self.held.jobs()
         for job in jobs:
-            if self.now >= job.useful_ms:
+            if self.now >= job.held_until:
                 self._give_up(job)
-        self.due_ms = min([job.useful_ms for job in jobs if job.held], default=math.inf)
+        self.due_ms = min([job.held_until for job in jobs if job.held], default=math.inf)
 
     # ---- placement, cold workers
 
@@ -219,7 +218,9 @@
         self.running[job.tenant] += slots
         worker.book(slots, job.event.memory)
         worker.cold_tokens -= slots * job.size_ms
-        self.actions.append(Send(job.event.job, worker.row.id))
+        self.actions.append(Send(job.event.job, worker.row.id, job.event.plan.attempt_ms))
+        if job.out == 1 and (wait := job.event.plan.copy_after_ms()) < math.inf:
+            self.actions.append(self.later.put(job, wait))
         self._touch(worker)
         return True
 
@@ -261,7 +262,7 @@
             return False
         if worker.trial and cls.repeat is Repeat.UNSAFE and self.settings.has_safe:
             return False
-        if job.attempts and not self._in_group(job, job.maybe_ran(), worker):
+        if job.attempts and (job.is_out_at(worker) or not self._in_group(job, job.maybe_ran(), worker)):
             return False
         in_time = job.size_ms <= worker.warm * (cls.objective_ms + cls.stretch * job.size_ms)
         cost = event.slots * job.size_ms
@@ -326,10 +327,15 @@
                 del self.jobs[event.job]
         elif event.closed:
             self._close(job)
+            if self.settings.cancel:  # a copy that lost; where that stops its work, its slots are free sooner
+                self.actions += [Cancel(event.job, n) for n, a in enumerate(job.attempts) if not a.result]
         elif not job.out:
             again = HARMLESS[job.cls.repeat][0] or job.maybe_ran() is None
-            if not again or len(job.attempts) >= self.settings.max_attempts or self.now >= job.useful_ms:
+            wait = job.event.plan.wait_ms(self.random)
+            if not again or not job.may_send(self.settings.max_attempts, self.now + wait):
                 self._give_up(job)
+            elif wait:
+                self.actions.append(self.later.put(job, wait))
             else:
                 self._wait_or_place(job)
 
@@ -347,16 +353,14 @@
         overtaken is not waiting for slots.
         """
         runs, waits = dict[WorkerRecord, float](), dict[WorkerRecord, float]()
-        for job in self.jobs.values():
-            for attempt in job.attempts if job.out else ():
-                worker, slots = attempt.worker, job.event.slots
-                since = self.now - (attempt.started_ms or attempt.sent_ms)
-                if attempt.result is not None or attempt.overdue or since < SETTLED_MS:
-                    continue
-                if attempt.started_ms:
-                    runs[worker] = runs.get(worker, 0.0) + slots
-                elif attempt.sent_ms >= worker.started_ms:
-                    waits[worker] = min(slots, waits.get(worker, math.inf))
+        for job, _, attempt in self.jobs.out():
+            worker, slots = attempt.worker, job.event.slots
+            if attempt.overdue or self.now - (attempt.started_ms or attempt.sent_ms) < SETTLED_MS:
+                continue
+            if attempt.started_ms:
+                runs[worker] = runs.get(worker, 0.0) + slots
+            elif attempt.sent_ms >= worker.started_ms:
+                waits[worker] = min(slots, waits.get(worker, math.inf))
         for worker, least in runs.items():
             known, most = self.slots[worker.kind], least + waits.get(worker, math.inf) - 1.0
             change = SETTLE * min(0.0, most - known) if self.settings.instances == 1 else 0.0
@@ -370,24 +374,21 @@
         tokens that part counts as free which such attempts turn out to be dead. Eighths keep sums even.
         """
         notes = self.settings.progress_ms if self.settings.tells_start and self.settings.cancel else math.inf
-        for job in [job for job in self.jobs.values() if job.out]:
-            for number, attempt in enumerate(job.attempts):
-                if attempt.result is not None:
-                    continue
-                worker, expected = attempt.worker, OVERDUE * job.size_ms * math.exp(attempt.worker.slowness)
-                if not attempt.overdue and self.now - (attempt.started_ms or attempt.sent_ms) > (
-                        OVERDUE_MS + expected):
-                    attempt.overdue, attempt.freed = True, round(self.dead * 8.0) / 8.0
-                    self._release(job, attempt, attempt.freed)
-                    if job.open and not job.freed:
-                        job.freed = job.event.slots * attempt.freed
-                        self.inflight[job.tenant] -= job.freed
-                    if attempt.freed:  # all of a worker that is cut off will be overdue
-                        self._judge(worker, 1.0, JUDGE * self.dead)
-                    self._touch(worker)
-                if notes < self.now - attempt.heard_ms > SILENT * notes + SILENT_MS and not attempt.cancelled:
-                    attempt.cancelled = True
-                    self.actions.append(Cancel(job.event.job, number))
+        for job, number, attempt in self.jobs.out():
+            worker, expected = attempt.worker, OVERDUE * job.size_ms * math.exp(attempt.worker.slowness)
+            since = attempt.started_ms or attempt.sent_ms
+            if not attempt.overdue and self.now - since > OVERDUE_MS + expected:
+                attempt.overdue, attempt.freed = True, round(self.dead * 8.0) / 8.0
+                self._release(job, attempt, attempt.freed)
+                if job.open and not job.freed:
+                    job.freed = job.event.slots * attempt.freed
+                    self.inflight[job.tenant] -= job.freed
+                if attempt.freed:  # all of a worker that is cut off will be overdue
+                    self._judge(worker, 1.0, JUDGE * self.dead)
+                self._touch(worker)
+            if notes < self.now - attempt.heard_ms > SILENT * notes + SILENT_MS and not attempt.cancelled:
+                attempt.cancelled = True
+                self.actions.append(Cancel(job.event.job, number))
 
     def _client_gone(self, event: ClientGone) -> None:
         if event.job in self.jobs and self.jobs[event.job].open:
@@ -545,3 +546,8 @@
             while self.settings.must_probe and self.probe_credit >= 1.0 and self.ring:
                 self.probe_credit -= 1.0
                 self.actions.append(Probe(self.random.choice(self.ring).row.id))
+        elif job := self.later.take(event.token):
+            if not job.out:  # its back-off is over
+                self._wait_or_place(job)
+            elif HARMLESS[job.cls.repeat][0] and job.may_copy(self.settings, self.now):
+                self._place(job)
