Read attempt plans from a checked file, and let the node follow them

conf/ reads lines with a lark grammar and names every mistake with its place; attempts/ resolves the plan in force for each request, checks it against the settings and gives a run that breaks a rule where one can. The node reads the file at its start and on SIGHUP, in slices, whole or not at all.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -11,10 +11,11 @@
 from pipitledge.net.scheduler import Scheduler
 from pipitledge.net.timers import Clock, Timers
 from pipitledge.node import config
-from pipitledge.node.counters import Counters, Log
+from pipitledge.node.counters import Counters, Log, writer
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.front import SPARE, Front
 from pipitledge.node.host_group import HostGroup
+from pipitledge.node.plan_file import PlanFile
 from pipitledge.node.server_link import Pool
 from pipitledge.node.signals import Signals
 from pipitledge.policy import Policy
@@ -44,7 +45,7 @@
 def main() -> int:
     """Run one node."""
     counters = Counters()
-    log = Log(counters)
+    log = Log(counters, writer(os.environ.get("PIPITLEDGE_LOG_FORMAT", "")))
     clock = Clock()
     timers = Timers(clock.now)
 
@@ -64,7 +65,8 @@
             front.stop()
 
     def reload() -> None:
-        """Read the configuration again; one that can't be used leaves everything as it is."""
+        """Read the configuration again; one that can't be used leaves everything as it is. The plans go apart."""
+        plans.reload()
         try:
             new = config.load(os.environ)
         except config.ConfigError as fault:
@@ -84,6 +86,9 @@
     except config.ConfigError as fault:
         log("config", error=fault)
         return 2
+    plans = PlanFile(told, scheduler, clock, counters, log)
+    if not plans.start():
+        return 2
     policy = Policy(told.settings, told.seed)
     dispatch = Dispatch(clock, timers, policy, counters, log)
     clients, links = budget(told.sockets)
@@ -94,6 +99,7 @@
     group.start(told.known)
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen, clients,
                   bodies(told.memory_mb))
+    front.plan_of = plans.plan
 
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=links)
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -44,6 +44,7 @@
     names: Names
     dial_timeout_ms: float
     idle_ms: float  # a worker's machine closes an idle connection after this
+    attempts: str = ""  # path of the file of attempt plans; empty: there is none
 
 
 def address(text: str) -> Address:
@@ -83,7 +84,7 @@
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
     return [key for key in ("name", "listen", "seed", "sockets", "memory_mb", "settings", "names",
-                            "dial_timeout_ms", "idle_ms") if getattr(old, key) != getattr(new, key)]
+                            "dial_timeout_ms", "idle_ms", "attempts") if getattr(old, key) != getattr(new, key)]
 
 
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
@@ -105,4 +106,5 @@
         memory_mb=int(limits.get("memory_mb", 192)), known=known if isinstance(known, dict) else {},
         settings=settings_from(stated), names=names,
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
-        idle_ms=float(allow.get("conn_idle_ms", 15_000.0)))
+        idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
+        attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")))
--- a/pipitledge/node/counters.py
+++ b/pipitledge/node/counters.py
@@ -6,6 +6,7 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable, Mapping
 
 
 class Counters:
@@ -24,14 +25,45 @@
         return json.dumps(dict(sorted(self.counts.items())), separators=(",", ":"))
 
 
+Write = Callable[[float, str, Mapping[str, object]], None]
+
+
+def plain(now: float, event: str, fields: Mapping[str, object]) -> None:
+    """Write time, event and key=value."""
+    stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}"
+    words = [f"{name}={str(value).replace(chr(10), ' | ')}" for name, value in fields.items()]
+    print(stamp, event, *words, file=sys.stdout, flush=True)
+
+
+def writer(form: str) -> Write:
+    """The writer for a log format: empty or `plain`, or `json`, which is structlog's and imported only then.
+
+    structlog takes 13 MB resident, of 32 that a node may have; that is why the plain lines are written here.
+    """
+    if form in ("", "plain"):
+        return plain
+    if form != "json":
+        raise ValueError(f"log format {form!r}: plain or json")
+    import structlog
+    lines = structlog.wrap_logger(structlog.PrintLogger(sys.stdout), processors=[
+        structlog.processors.add_log_level, structlog.processors.JSONRenderer(default=str)])
+
+    def write(now: float, event: str, fields: Mapping[str, object]) -> None:
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}Z"
+        lines.info(event, time=stamp, **{name if name != "event" else "what": value for name, value in fields.items()})
+        sys.stdout.flush()
+
+    return write
+
+
 class Log:
-    """Lines on standard output: time, event, key=value; so many a second of each kind of event."""
+    """Lines on standard output, so many a second of each kind of event."""
 
     PER_SECOND = 20
 
-    def __init__(self, counters: Counters) -> None:
+    def __init__(self, counters: Counters, write: Write = plain) -> None:
         """Count what is left out, so that a flood is seen without being written."""
-        self.counters = counters
+        self.counters, self.write = counters, write
         self._second, self._lines = 0, Counter[str]()
 
     def __call__(self, event: str, **fields: object) -> None:
@@ -44,9 +76,7 @@
         if self._lines[event] > self.PER_SECOND:
             self.counters.add(f"log.left-out.{event}")
             return
-        stamp = time.strftime("%H:%M:%S", time.gmtime(now)) + f".{int(now * 1000) % 1000:03d}"
-        words = [f"{name}={str(value).replace(chr(10), ' | ')}" for name, value in fields.items()]
         try:
-            print(stamp, event, *words, file=sys.stdout, flush=True)
+            self.write(now, event, fields)
         except OSError:  # a full or closed log must not stop the node
             self.counters.add("log.failed")
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -15,7 +15,7 @@
 
 from pipitledge.http1.client_side import ClientSide, Request, Stage
 from pipitledge.http1.heads import BadMessage
-from pipitledge.interface import JobArrived, Repeat, Settings
+from pipitledge.interface import UNLIMITED, JobArrived, Repeat, Settings
 from pipitledge.net.scheduler import Scheduler, Wake
 from pipitledge.net.stream import Part, ReceiveBuffer, Stream
 from pipitledge.net.timers import Clock
@@ -23,6 +23,7 @@
 from pipitledge.node.counters import Counters, Log
 from pipitledge.node.dispatch import Answer, Dispatch, Failure, Query, Served
 from pipitledge.node.endings import Ending
+from pipitledge.node.plan_file import PlanOf, unlimited
 from pipitledge.node.server_link import Passage
 
 IDLE_MS = 120_000.0  # a connection that has served may stand idle for so long
@@ -221,6 +222,8 @@
         if request.target == b"/-/ready" and request.method == b"GET":
             return self.side.answer(503 if front.stopping else 200, b"", close=front.stopping)
         arrival = read_arrival(request, front.names, front.settings)
+        if (plan := front.plan_of(arrival.job_class, request.target)) is not UNLIMITED:
+            arrival = arrival._replace(plan=plan)
         if self.over_budget:
             front.counters.add("answer.over-budget")
             return self.side.answer(503, b"no room", [b"Retry-After: " + BUSY_RETRY_S], close=True)
@@ -254,6 +257,8 @@
 class Front:
     """Listens, keeps the clients' connections within the budget, and stops in order."""
 
+    plan_of: PlanOf = staticmethod(unlimited)
+
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
                  names: Names, settings: Settings, listen: Address, most: int, most_held: int) -> None:
         """Open the listening socket; at most `most` clients are served, a few more are turned away."""
--- /dev/null
+++ b/pipitledge/node/plan_file.py
@@ -0,0 +1,95 @@
+"""The file of attempt plans as a running node uses it: read at the start, read again on SIGHUP, whole or not at all."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Callable, Generator
+
+from pipitledge.attempts.plans import Loaded, Loader, Plans
+from pipitledge.conf.parse import finish
+from pipitledge.conf.places import Mistake, Place, Severity, errors
+from pipitledge.conf.reader import MOST_BYTES
+from pipitledge.interface import UNLIMITED, Plan
+from pipitledge.net.scheduler import Scheduler
+from pipitledge.net.timers import Clock
+from pipitledge.node.config import Config
+from pipitledge.node.counters import Counters, Log
+
+
+class PlanFile:
+    """The plans in force. Queries under way keep the plan that they began with: it travels with them."""
+
+    def __init__(self, told: Config, scheduler: Scheduler, clock: Clock, counters: Counters, log: Log) -> None:
+        """Know the file's path; an empty one means that there is none, and every plan allows all."""
+        self.path, self.scheduler, self.clock = told.attempts, scheduler, clock
+        self.counters, self.log = counters, log
+        self.loader = Loader(told.settings, {name.decode(): index for name, index in told.names.classes.items()})
+        self.plans = Plans()
+        self._reading = self._again = False
+
+    def plan(self, job_class: int, target: bytes) -> Plan:
+        """The plan for a request of this class with this target."""
+        return self.plans.plan(job_class, target.decode("latin-1")) if self.plans.classes else UNLIMITED
+
+    def start(self) -> bool:
+        """Read the file before the node serves; False if it can't be used: a node without its plans is none."""
+        return not self.path or self._take(finish(self._load()))
+
+    def reload(self) -> None:
+        """Read the file again beside what is served: in slices, and once more if it was asked for meanwhile."""
+        if not self.path:
+            return
+        self._again = self._reading
+        if not self._reading:
+            self._reading = True
+            self.scheduler.spawn(self._reload)
+
+    def _reload(self) -> None:
+        try:
+            steps, pause = self._load(), self._pause
+            while True:
+                try:
+                    next(steps)
+                    pause()
+                except StopIteration as end:
+                    self._take(end.value)
+                    return
+        finally:
+            self._reading = False
+            if self._again:
+                self.reload()
+
+    def _pause(self) -> None:
+        self.scheduler.wait(self.clock.now())
+
+    def _load(self) -> Generator[None, None, Loaded]:
+        try:
+            with pathlib.Path(self.path).open("rb") as file:
+                data = file.read(MOST_BYTES + 1)
+        except OSError as fault:
+            return Loaded(None, [Mistake(Place(self.path), f"can't be read: {fault.strerror or fault}")])
+        return (yield from self.loader.load(self.path, data))
+
+    def _take(self, loaded: Loaded) -> bool:
+        """Put plans in force, or keep those there are; what the file says wrong goes to the log, line by line."""
+        for mistake in loaded.mistakes:
+            what = "plans-mistake" if mistake.severity is Severity.ERROR else "plans-warning"
+            self.log(what, at=mistake.place, why=mistake.text)
+        if loaded.plans is None:
+            self.counters.add("plans.kept")
+            self.log("plans", kept=self.path, mistakes=len(errors(loaded.mistakes)))
+            return False
+        self.plans = loaded.plans
+        self.loader.apply(loaded.plans)
+        self.counters.add("plans.read")
+        self.log("plans", file=self.path, classes=len(loaded.plans.classes), routes=len(loaded.plans.routes),
+                 warnings=len(loaded.mistakes))
+        return True
+
+
+PlanOf = Callable[[int, bytes], Plan]
+
+
+def unlimited(job_class: int, target: bytes) -> Plan:
+    """The plan of a node without a file."""
+    return UNLIMITED
