--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -76,6 +76,10 @@
         task.wake()
         return task
 
+    def current(self) -> Task:
+        """The calling task."""
+        return self._tasks[greenlet.getcurrent()]
+
     def wait(self, until_ms: float = math.inf, fd: int = -1, mask: int = READ) -> Wake:
         """Park the calling task until the descriptor is ready, somebody notifies it, or time is up."""
         task = self._tasks[greenlet.getcurrent()]
