--- a/pipitledge/attempts/plans.py
+++ b/pipitledge/attempts/plans.py
@@ -9,7 +9,7 @@
 
 from pipitledge.attempts.check import Numbers, Rules, check, dead_letters
 from pipitledge.attempts.learned import Learned
-from pipitledge.attempts.routes import Routes, equals, read_pattern
+from pipitledge.attempts.routes import Equals, Routes, read_pattern
 from pipitledge.conf.parse import Document, Section, parse
 from pipitledge.conf.places import Mistake, Place, Severity, errors
 from pipitledge.conf.units import show_ms
@@ -152,11 +152,15 @@
             if own:  # a route without a value of its own is as sound as its class
                 mistakes += self._check(routes[-1], section.place, own)
             tree.add(pattern, routes[-1].plan)
+        seen = Equals()
+        for second, pattern in enumerate(patterns):
+            if second % 50 == 49:
+                yield
+            if (first := seen.add(pattern)) is not None:
+                text = (f"route {taken[second].name} and route {taken[first].name} (line {taken[first].place.line}) "
+                        "match equally; make one of them longer")
+                mistakes.append(Mistake(taken[second].place, text))
         yield
-        for first, second in equals(patterns):
-            text = (f"route {taken[second].name} and route {taken[first].name} (line {taken[first].place.line}) "
-                    "match equally; make one of them longer")
-            mistakes.append(Mistake(taken[second].place, text))
         mistakes.sort(key=lambda mistake: (mistake.place.line, mistake.place.column))
         if errors(mistakes):
             return Loaded(None, mistakes)
--- a/pipitledge/attempts/routes.py
+++ b/pipitledge/attempts/routes.py
@@ -109,24 +109,49 @@
         return best[1] if best is not None else None
 
 
-def equals(patterns: list[tuple[str, ...]]) -> list[tuple[int, int]]:
-    """Pairs of patterns, by index, that some path matches equally; for each pattern the first such only.
+@dataclass(slots=True)
+class _Seen:
+    below: dict[str, _Seen] = field(default_factory=dict)
+    index: int | None = None  # of a pattern that ends here
+
 
-    Patterns without `*` in their middle meet an equal one only where they are the same, which a table tells; the
-    others are compared with those of their rank and first segment.
+class Equals:
+    """Finds, for one pattern after another, an earlier one that some path matches equally.
+
+    A tree for each rank: what is looked at are the patterns that agree so far, so that thousands of routes that have
+    nothing to do with each other cost little.
     """
-    pairs, same = list[tuple[int, int]](), dict[tuple[str, ...], int]()
-    groups = dict[tuple[str, tuple[int, bool]], tuple[list[int], list[int]]]()
-    for index, pattern in enumerate(patterns):
-        if pattern in same:
-            pairs.append((same[pattern], index))
-            continue
-        same[pattern] = index
-        plain, starred = groups.setdefault((pattern[0], rank(pattern)), ([], []))
-        is_starred = "*" in pattern[:-1]
-        for other in starred + plain if is_starred else starred:
-            if could_meet(patterns[other], pattern):
-                pairs.append((other, index))
-                break
-        (starred if is_starred else plain).append(index)
-    return pairs
+
+    def __init__(self) -> None:
+        """Begin without any pattern."""
+        self._ranks: dict[tuple[int, bool], _Seen] = {}
+        self._count = 0
+
+    def add(self, pattern: tuple[str, ...]) -> int | None:
+        """Take a pattern; the index of an earlier one that it meets, or None."""
+        root = self._ranks.setdefault(rank(pattern), _Seen())
+        found = self._meets(root, pattern, 0)
+        node = root
+        for part in pattern:
+            node = node.below.setdefault(part, _Seen())
+        node.index = self._count if node.index is None else node.index
+        self._count += 1
+        return found
+
+    def _meets(self, node: _Seen, pattern: tuple[str, ...], depth: int, by: str = "") -> int | None:
+        if node.index is not None and (depth == len(pattern) or by == "*"):
+            return node.index
+        if depth == len(pattern):
+            if pattern[-1] != "*":
+                return None
+            names = list(node.below)  # the last * matches whatever goes on from here
+            part = "*"
+        else:
+            part = pattern[depth]
+            names = list(node.below) if part == "*" else [part, "*"]
+        for name in names:
+            if (below := node.below.get(name)) is not None:
+                found = self._meets(below, pattern, min(depth + 1, len(pattern)), name)
+                if found is not None:
+                    return found
+        return None
--- a/pipitledge/conf/parse.py
+++ b/pipitledge/conf/parse.py
@@ -16,7 +16,8 @@
 
 from pipitledge.conf import units
 from pipitledge.conf.places import Mistake, Place
-from pipitledge.conf.reader import read_lines
+from pipitledge.conf.reader import MOST_BYTES, split
+from pipitledge.conf.reader import read_line as read_bytes
 
 MOST_SECTIONS = 10_000
 SLICE = 25  # lines between two breaks, in which a node serves on
@@ -210,15 +211,19 @@
 
 def parse(name: str, data: bytes) -> Generator[None, None, Document]:
     """Read a file in slices, with breaks between; the document with all its mistakes is the result."""
-    lines, mistakes = read_lines(name, data)
+    mistakes = list[Mistake]()
     document = Document(name, mistakes=mistakes)
+    if len(data) > MOST_BYTES:
+        mistakes.append(Mistake(Place(name), f"{len(data)} bytes; a file has 1 MiB at most"))
+        return document
     first = dict[tuple[str, str], Section]()
     section: Section | None = None  # None also while the lines of a section that can't be are read over
     lost = False
     wants_class: Section | None = None
-    for number, text in enumerate(lines, 1):
+    for number, raw in enumerate(split(data), 1):
         if number % SLICE == 0:
             yield
+        text = read_bytes(name, number, raw, mistakes)
         if not text or text.isspace():
             continue
         try:
--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -124,9 +124,11 @@
             self.after_round()
         except Exception as fault:  # the loop is the one thing that must never end by a fault
             self.crashed(fault)
-        wait = 0.0 if self.ready or not self._running else self.timers.wait_ms()
+        wait = 0.0 if self.ready else self.timers.wait_ms()
         if wait_most_ms is not None:
             wait = wait_most_ms if wait is None else min(wait, wait_most_ms)
+        elif not self._running:
+            wait = 0.0
         self._poll_once(wait)
 
     def stop(self) -> None:
--- a/pipitledge/node/plan_file.py
+++ b/pipitledge/node/plan_file.py
@@ -74,7 +74,7 @@
         """Put plans in force, or keep those there are; what the file says wrong goes to the log, line by line."""
         for mistake in loaded.mistakes:
             what = "plans-mistake" if mistake.severity is Severity.ERROR else "plans-warning"
-            self.log(what, at=mistake.place, why=mistake.text)
+            self.log(what, at=str(mistake.place), why=mistake.text)
         if loaded.plans is None:
             self.counters.add("plans.kept")
             self.log("plans", kept=self.path, mistakes=len(errors(loaded.mistakes)))
--- a/tests/test_attempts_files.py
+++ b/tests/test_attempts_files.py
@@ -14,7 +14,7 @@
 
 from pipitledge.attempts.learned import ENOUGH, KEPT, LEAST, Learned
 from pipitledge.attempts.plans import Loader
-from pipitledge.attempts.routes import Routes, could_meet, equals, rank, read_pattern, segments
+from pipitledge.attempts.routes import Equals, Routes, could_meet, rank, read_pattern, segments
 from pipitledge.conf.parse import GRAMMAR, MOST_SECTIONS
 from pipitledge.conf.reader import MOST_BYTES
 from pipitledge.interface import UNLIMITED, Result
@@ -151,7 +151,11 @@
             path = path[:len(pattern)]
         return len(pattern) == len(path) and all(p in ("*", s) for p, s in zip(pattern, path, strict=True))
 
-    told = equals(patterns)
+    seen = Equals()
+    told = [(first, index) for index, pattern in enumerate(patterns) if (first := seen.add(pattern)) is not None]
+    for index, pattern in enumerate(patterns):  # against every pair
+        assert (index in {second for _, second in told}) == any(
+            rank(pattern) == rank(other) and could_meet(other, pattern) for other in patterns[:index])
     kept = [pattern for index, pattern in enumerate(patterns) if index not in {second for _, second in told}]
     tree: Routes[tuple[str, ...]] = Routes()
     for pattern in kept:
