Let stand-in machines refuse, hang and go down, and mend a lost wait in the scheduler

Cause of the mend: a task that was woken after its descriptor had been closed took the watcher of the next task with that number away; the node's own tasks close what they wait on themselves, so it was never met there. Tests fail without it.

--- a/benchmarks/attempts_cpu.py
+++ b/benchmarks/attempts_cpu.py
@@ -14,7 +14,7 @@
 
 from rich.console import Console
 
-from pipitledge.cli.demo import Shop, _drive
+from pipitledge.cli.demo import Shop, drive
 
 ROUNDS, SECONDS, RATE, WORKERS, ROUTES = 10, 8.0, 150.0, 9, 200
 PLANS = """class menu-plan
@@ -44,7 +44,7 @@
         shop = Shop(pathlib.Path(name), WORKERS, plans, 0.0, seed, log)
         try:
             before = cpu_s(shop.process.pid)
-            load = _drive(shop, Console(quiet=True), SECONDS, RATE, seed)
+            load = drive(shop, Console(quiet=True), SECONDS, RATE, seed)
             took = cpu_s(shop.process.pid) - before
         finally:
             shop.stop()
--- a/pipitledge/cli/demo.py
+++ b/pipitledge/cli/demo.py
@@ -22,6 +22,7 @@
 from pipitledge.emulator import site
 from pipitledge.emulator.audit import Audit
 from pipitledge.emulator.client import Clients
+from pipitledge.emulator.discovery import row
 from pipitledge.emulator.faults import Fault, Faults
 from pipitledge.emulator.servers import DiscoveryServer, LoadClients, WorkerServer
 from pipitledge.emulator.worker import Machine, Rack, Worker
@@ -88,7 +89,7 @@
         raise click.UsageError(str(fault)) from None
     for pair in rows:
         name, _, where = pair.partition("=")
-        server.put(server.row(Worker(Machine(name), Rack(0.0), audit), _address(where)), at_once=True)
+        server.put(row(Worker(Machine(name), Rack(0.0), audit), _address(where)), at_once=True)
     _until_stopped(scheduler, "ready discovery {}:{}".format(*server.address))
 
 
@@ -111,12 +112,13 @@
             server = WorkerServer(self.scheduler, self.clock, ("127.0.0.1", 0), model, self.settings, site.CLASSES,
                                   drawn, seen)
             self.servers.append(server)
-            self.discovery.put(self.discovery.row(model, server.address), at_once=True)
+            self.discovery.put(row(model, server.address), at_once=True)
         with socket.socket() as free:
             free.bind(("127.0.0.1", 0))
             self.node = free.getsockname()
         path = folder / "config.json"
-        path.write_text(site.config("n0", self.node, self.discovery.address, list(self.discovery.rows.values()), seed,
+        known = list(self.discovery.model.rows.values())
+        path.write_text(site.config("n0", self.node, self.discovery.address, known, seed,
                                     str(attempts.resolve()) if attempts else ""))
         self.process = subprocess.Popen([sys.executable, "-m", "pipitledge"], stdout=log, stderr=subprocess.STDOUT,
                                         env={**os.environ, "BALANCER_CONFIG": str(path)})
@@ -144,11 +146,11 @@
     def drain(self, index: int, back_ms: float) -> None:
         """A worker drains, restarts cold, and comes back."""
         server = self.servers[index]
-        self.discovery.put(self.discovery.row(server.model, server.address, State.DRAINING))
+        self.discovery.put(row(server.model, server.address, State.DRAINING))
 
         def back() -> None:
             server.model.restart(self.clock.now())
-            self.discovery.put(self.discovery.row(server.model, server.address))
+            self.discovery.put(row(server.model, server.address))
 
         self.scheduler.timers.at(self.clock.now() + back_ms, back)
 
@@ -185,7 +187,7 @@
         with (keep_log or folder / "node.log").open("w") as log:
             shop = Shop(folder, workers, attempts, faults, seed, log)
             try:
-                load = _drive(shop, console, seconds, rate, seed)
+                load = drive(shop, console, seconds, rate, seed, faults > 0.0)
             finally:
                 code = shop.stop()
     console.print(_table(shop, load, f"{seconds:g} s, {rate:g} jobs/s, {workers} workers, {faults:.0%} of attempts "
@@ -200,7 +202,7 @@
     return 1 if breaches or code else 0
 
 
-def _drive(shop: Shop, console: Console, seconds: float, rate: float, seed: int) -> LoadClients:
+def drive(shop: Shop, console: Console, seconds: float, rate: float, seed: int, faults: bool = False) -> LoadClients:
     """Let the clients come, show how it goes, and wait until all have heard."""
     clock, scheduler = shop.clock, shop.scheduler
     load = LoadClients(scheduler, clock, Clients(shop.settings, site.kinds(), seed, retries=1), shop.node, shop.audit)
@@ -208,6 +210,10 @@
     scheduler.spawn(lambda: load.arrivals(rate, end))
     if len(shop.servers) > 2 and seconds >= 4.0:
         scheduler.timers.at(clock.now() + 1_000.0, lambda: shop.drain(0, 1_500.0))
+        if faults:  # faults of whole machines: one refuses, one accepts nothing, discovery goes down
+            scheduler.timers.at(clock.now() + 1_500.0, lambda: shop.servers[1].refuse(500.0))
+            scheduler.timers.at(clock.now() + 2_200.0, lambda: shop.servers[2].hang(500.0))
+            scheduler.timers.at(clock.now() + 2_800.0, lambda: shop.discovery.down(600.0))
     with Live(console=console, auto_refresh=False, transient=True) as live:
         shown = 0.0
         while clock.now() < end or (load.open and clock.now() < end + END_MS):
--- a/pipitledge/emulator/servers.py
+++ b/pipitledge/emulator/servers.py
@@ -17,6 +17,7 @@
 
 from pipitledge.emulator.audit import Audit
 from pipitledge.emulator.client import Clients, Wanted
+from pipitledge.emulator.discovery import STATES, Discovery, line
 from pipitledge.emulator.faults import Fault, Faults
 from pipitledge.emulator.worker import Job, Said, Worker
 from pipitledge.http1.client_side import ClientSide, Request, Stage
@@ -30,7 +31,6 @@
 
 LAST = {"done", "failed", "lost", "returned"}
 KEEP_MS, SLOW = 15_000.0, 12.0
-PHASES = {State.SERVING: "in_service", State.DRAINING: "terminating", State.GONE: "terminated"}
 
 
 def listener(address: Address) -> socket.socket:
@@ -59,10 +59,13 @@
         self.listener = listener(listen)
         self.address: Address = self.listener.getsockname()
         self.accepting = True
-        scheduler.spawn(self._accept)
+        self.acceptor = scheduler.spawn(self._accept)
 
     def _accept(self) -> None:
         while True:
+            if not self.accepting:
+                self.scheduler.wait(self.clock.now() + 20.0)
+                continue
             self.scheduler.wait(fd=self.listener.fileno())
             while self.accepting:
                 try:
@@ -71,8 +74,6 @@
                     break
                 stream = Stream(self.scheduler, sock, ReceiveBuffer(most=96 * 1024))
                 self.scheduler.spawn(lambda stream=stream: self._serve(stream))  # type: ignore[misc]
-            if not self.accepting:
-                self.scheduler.wait(self.clock.now() + 20.0)
 
     def _serve(self, stream: Stream) -> None:
         with contextlib.suppress(OSError, BadMessage, OverflowError):
@@ -138,12 +139,10 @@
         """Refuse new connections for a while."""
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
-        self.listener = socket.socket()  # nothing listens there
         self.accepting = False
+        self.acceptor.wake()  # it waits for a listener that is gone
 
         def over() -> None:
-            self.scheduler.forget(self.listener.fileno())
-            self.listener.close()
             self.listener = listener(self.address)
             self.accepting = True
 
@@ -244,26 +243,16 @@
 
     def __init__(self, scheduler: Scheduler, clock: Clock, listen: Address, lag_ms: float = 200.0) -> None:
         """Begin with an empty list."""
-        self.rows: dict[str, dict[str, Any]] = {}
-        self.revision, self.lag_ms = 0, lag_ms
-        self.changes: list[tuple[int, dict[str, Any]]] = []
+        self.model, self.lag_ms = Discovery(), lag_ms
+        self.streams: set[Stream] = set()
         self.watches: set[Task] = set()
         self.told: Callable[[str, State], None] = lambda name, state: None  # when a change was written to a watch
         super().__init__(scheduler, clock, listen)
 
-    def row(self, worker: Worker, address: Address, state: State = State.SERVING) -> dict[str, Any]:
-        """One entry, as the protocol page has it."""
-        machine = worker.machine
-        return {"uid": machine.name, "endpoint": "{}:{}".format(*address), "az": "aarhus-1",
-                "model": ("fast-4", "slow-5")[machine.kind], "pod_group": machine.cell, "state": PHASES[state],
-                "capacity_hint": 1.0, "boot_ms": max(0.0, worker.started_ms)}
-
-    def put(self, row: dict[str, Any], at_once: bool = False) -> None:
+    def put(self, entry: dict[str, Any], at_once: bool = False) -> None:
         """Change an entry; watches hear of it after the lag."""
         def change() -> None:
-            self.revision += 1
-            self.rows[row["uid"]] = row
-            self.changes.append((self.revision, row))
+            self.model.put(entry)
             for task in list(self.watches):
                 task.wake()
 
@@ -272,23 +261,30 @@
         else:
             self.scheduler.timers.at(self.clock.now() + self.lag_ms, change)
 
+    def down(self, for_ms: float) -> None:
+        """Go down for a while: watches end, calls get 503."""
+        self.model.is_down = True
+        for task in list(self.watches):
+            task.wake()
+
+        def up() -> None:
+            self.model.is_down = False
+
+        self.scheduler.timers.at(self.clock.now() + for_ms, up)
+
     def serve(self, stream: Stream) -> None:
         """Answer with the list, or follow it."""
         side = ClientSide()
         while (request := self.read(stream, side)) is not None:
             until = self.clock.now() + 5_000.0
             path, _, query = request.target.partition(b"?")
-            if path != b"/api/targets":
-                stream.write(side.answer(404, b"", close=True), until)
+            if self.model.is_down or path != b"/api/targets":
+                stream.write(side.answer(503 if self.model.is_down else 404, b"", close=True), until)
                 return
             if b"follow=1" in query:
                 self._follow(stream, query)
                 return
-            stream.write(side.answer(200, self._whole()), until)
-
-    def _whole(self) -> bytes:
-        rows = [row for row in self.rows.values() if row["state"] != "terminated"]
-        return json.dumps({"rev": self.revision, "all": True, "targets": rows}).encode()
+            stream.write(side.answer(200, line(self.model.whole())), until)
 
     def _follow(self, stream: Stream, query: bytes) -> None:
         since = next((int(part[6:]) for part in query.split(b"&") if part.startswith(b"since=") and
@@ -296,23 +292,15 @@
         stream.write([b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"], self.clock.now() + 5_000.0)
         task = self.scheduler.current()
         self.watches.add(task)
-        first = True
         try:
-            while True:
-                news = [row for revision, row in self.changes if revision > since]
-                if first and not 0 <= since <= self.revision:
-                    line = self._whole()
-                elif news or first:
-                    line = json.dumps({"rev": self.revision, "all": False, "targets": news}).encode()
-                else:
-                    line = b""
-                since, first = self.revision, False
-                if not stream.write([chunk(line)], self.clock.now() + 5_000.0):
+            while not self.model.is_down:
+                said = self.model.news(since)
+                since = self.model.revision
+                if not stream.write([chunk(b"" if said is None else line(said))], self.clock.now() + 5_000.0):
                     return
-                states = {text: state for state, text in PHASES.items()}
-                for row in news:
-                    self.told(row["uid"], states[row["state"]])
-                while since == self.revision:
+                for entry in said["targets"] if said is not None else ():
+                    self.told(entry["uid"], STATES[entry["state"]])
+                while since == self.model.revision and not self.model.is_down:
                     why = stream.readable(self.clock.now() + 2_000.0)
                     if why is Wake.READY and stream.read() == 0:
                         return
--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -90,8 +90,8 @@
         why: Wake = self.hub.switch()
         if timer is not None:
             timer.cancel()
-        if fd >= 0:
-            self._watchers.pop(fd, None)
+        if fd >= 0 and self._watchers.get(fd) is task:  # closed meanwhile, its number may be another task's by now
+            del self._watchers[fd]
         return why
 
     def _watch(self, fd: int, mask: int, task: Task) -> None:
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -13,6 +13,9 @@
     Event,
     Fail,
     JobArrived,
+    JobClass,
+    JobRecord,
+    Later,
     Result,
     Send,
     SetTimer,
@@ -123,3 +126,26 @@
     rig.settle(0.02)
     assert rig.script.of(TimerFired) == [TimerFired(7)]
     assert rig.scheduler.timers.wait_ms() is not None
+
+
+def test_a_timer_of_a_query_that_is_over_never_fires(rig: Rig) -> None:
+    """Each wakes the node for nothing, seconds after its job ended; the next timer of a query replaces the last."""
+    rig.script.on_event = lambda event: (
+        [SetTimer(50.0, 7, event.job), SetTimer(60.0, 8, event.job)] if isinstance(event, JobArrived) else
+        [Fail("a")] if isinstance(event, TimerFired) and event.token == 9 else [])
+    rig.query("a")
+    rig.query("b")
+    rig.settle()
+    rig.dispatch.events.append(TimerFired(9))
+    rig.settle()
+    rig.settle(70.0)
+    assert [event.token for event in rig.script.of(TimerFired)] == [9, 8]  # b's last one alone
+
+
+def test_the_modules_own_timers_do_not_pile_up() -> None:
+    later = Later()
+    for number in range(1_000):
+        job = JobRecord(JobArrived(f"j{number}"), JobClass(), 0, 1.0, 1.0, 0.0, 1.0)
+        assert later.put(job, 1.0).job == job.event.job
+        job.open = False
+    assert len(later) <= 256
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -149,3 +149,25 @@
         signal.signal(signal.SIGUSR1, before)
         signals.ours.close()
         signals.wakes.close()
+
+
+def test_a_task_whose_descriptor_was_closed_does_not_deafen_the_next_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A descriptor's number comes again at once: the task that waited on the old one must not take the new one off."""
+    rig = Rig(monkeypatch)
+    old, _old_far = socket.socketpair()
+    number, heard = old.fileno(), list[Wake]()
+    waiter = rig.scheduler.spawn(lambda: heard.append(rig.scheduler.wait(fd=number)))
+    rig.settle()
+    rig.scheduler.forget(number)
+    old.close()
+    ours, far = socket.socketpair()
+    assert ours.fileno() == number
+    rig.scheduler.spawn(lambda: heard.append(rig.scheduler.wait(fd=number)))
+    rig.scheduler.turn(0.0)  # the new task waits
+    waiter.wake()
+    rig.scheduler.turn(0.0)  # the old one ends
+    far.send(b"x")
+    rig.settle()
+    assert heard == [Wake.NOTICE, Wake.READY]
+    for sock in (ours, far, _old_far):
+        sock.close()
