--- a/pipitledge/cli/main.py
+++ b/pipitledge/cli/main.py
@@ -10,6 +10,7 @@
 import click
 from click.shell_completion import get_completion_class
 
+from pipitledge import __version__
 from pipitledge.attempts.plans import InForce, Loader, show, where
 from pipitledge.attempts.worst import timeline
 from pipitledge.conf.parse import finish
@@ -21,7 +22,7 @@
 
 
 @click.group(context_settings=CONTEXT)
-@click.version_option(package_name="pipitledge", prog_name="pipitledge")
+@click.version_option(__version__, prog_name="pipitledge")
 def main() -> None:
     """Place jobs on workers: run a node, check and explain its files, play with stand-ins."""
 
