--- a/pipitledge/node/endings.py
+++ b/pipitledge/node/endings.py
@@ -26,6 +26,8 @@
     CALLED_OFF = "called-off"
     NEVER_SENT = "never-sent"  # its query was over or had no attempt left
     OUR_FAULT = "our-fault"  # an exception of ours
+    PROVED_UNPRINTED = "proved-unprinted"  # a printer took part of a job, and is known not to print it
+    MAY_HAVE_PRINTED = "may-have-printed"  # a printer has it, or part of it, and there is no proof
     # idle links, probes
     IDLE_CLOSED = "idle-closed"
     STALE = "stale"
@@ -45,7 +47,8 @@
 
 
 # The one place where an execution's ending becomes the module's outcome. FULL, CONNECT_FAILED and MOOT
-# promise that the job never ran, so only endings before the request's last byte may map to them.
+# promise that the job never ran, so only endings before the request's last byte may map to them, or those for
+# which the worker itself has given the proof since.
 RESULTS = {
     Ending.SERVED: Result.OK,
     Ending.WORKER_FAILED: Result.ERROR,
@@ -62,4 +65,6 @@
     Ending.CALLED_OFF: Result.CANCELLED,
     Ending.NEVER_SENT: Result.MOOT,
     Ending.OUR_FAULT: Result.RESET,
+    Ending.PROVED_UNPRINTED: Result.CONNECT_FAILED,
+    Ending.MAY_HAVE_PRINTED: Result.RESET,
 }
