--- a/benchmarks/ipp_print.py
+++ b/benchmarks/ipp_print.py
@@ -33,8 +33,8 @@
 
 def main() -> None:
     """Print one line for each way."""
-    print(f"{JOBS} submissions in {DAYS} days, seeds 1 to {DAYS}, {PRINTERS} printers, {PER_S:g} a second, {SHARE:.0%} of "
-          f"exchanges each: {', '.join(fault.value for fault in FAULTS)}")
+    print(f"{JOBS} submissions in {DAYS} days, seeds 1 to {DAYS}, {PRINTERS} printers, {PER_S:g} a second, {SHARE:.0%} "
+          f"of exchanges each: {', '.join(fault.value for fault in FAULTS)}")
     with ProcessPoolExecutor() as pool:
         for way in WAYS:
             began = time.perf_counter()
