--- a/pipitledge/emulator/servers.py
+++ b/pipitledge/emulator/servers.py
@@ -175,7 +175,7 @@
         machine, audit = self.model.machine, self.model.audit
         attempt = audit.sent(name, machine.name, machine.cell, machine.zone, now)
         if fault in (Fault.REFUSE, Fault.HANG, Fault.BREAK_BEFORE):
-            return _reset(stream)  # it came whole all the same: the node must take it for one that may have run
+            return reset(stream)  # it came whole all the same: the node must take it for one that may have run
         if fault is Fault.FULL:
             attempt.ended_ms, attempt.never_ran = now, True
             return stream.write(side.answer(503, b"", [b"Not-Started: 1"]), until)
@@ -191,7 +191,7 @@
             self.ticker.wake()
             self._spread()
             if fault is Fault.BREAK_AFTER:
-                return _reset(stream)
+                return reset(stream)
             return self._answer(stream, side, job, fault)
         finally:
             attempt.ended_ms = attempt.ended_ms or self.clock.now()
@@ -210,7 +210,7 @@
                 if fault is Fault.SILENT:
                     continue
                 if fault is Fault.BREAK_AMID and said.state in LAST:
-                    return _reset(stream)
+                    return reset(stream)
                 text: dict[str, Any] = {"id": job.id, "from": self.model.machine.name, "state": said.state}
                 if said.state == "running":
                     text["share"] = round(said.share, 3)
@@ -231,7 +231,7 @@
                 return False
 
 
-def _reset(stream: Stream) -> bool:
+def reset(stream: Stream) -> bool:
     """Break a connection as a dying process does."""
     stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     stream.close()
--- a/pipitledge/ipp/service.py
+++ b/pipitledge/ipp/service.py
@@ -46,6 +46,7 @@
         """Be at this printer-uri; `accepting` tells whether any printer behind takes jobs."""
         self.uri, self.jobs, self.now_s, self.accepting = uri, jobs, now_s, accepting
         self.started_s = now_s()
+        self.on_cancel: Callable[[int], None] = lambda number: None  # told once a job was cancelled
 
     # ---- requests
 
@@ -145,6 +146,7 @@
             what = "is over" if record.is_over else "is at a printer"
             raise Refused(Status.NOT_POSSIBLE, f"job {record.id} {what}")
         self.jobs.move(record.id, JobState.CANCELED, "job-canceled-by-user")
+        self.on_cancel(record.id)
         return self.reply(request, Status.OK)
 
     def get_job(self, request: Message) -> Message:
