Print from a running node: printers polled, jobs recovered after SIGKILL

Measured: a node killed with SIGKILL three times amid 85 submissions: nothing printed twice, every record with one final outcome that the printers' ledger confirms. A node without a file of printers imports none of it.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -100,6 +100,19 @@
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen, clients,
                   bodies(told.memory_mb))
     front.plan_of = plans.plan
+    if told.printers:
+        from pipitledge.ipp.node import PrintSide
+        try:
+            printing = PrintSide(told, scheduler, clock, counters, log)
+        except (config.ConfigError, OSError) as fault:
+            log("config", error=fault)
+            return 2
+
+        def both() -> None:
+            dispatch.round()
+            printing.dispatch.round()
+
+        scheduler.after_round = both
 
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=links)
--- a/pipitledge/attempts/plans.py
+++ b/pipitledge/attempts/plans.py
@@ -190,8 +190,10 @@
         return f"the settings have no class {name!r}; {hint}"
 
     def _names(self, document: Document) -> list[Mistake]:
-        return [Mistake(section.place, self._unknown(section.name)) for section in document.sections
-                if section.kind == "class" and section.name not in self.names]
+        found = [Mistake(section.place, self._unknown(section.name)) for section in document.sections
+                 if section.kind == "class" and section.name not in self.names]
+        return found + [Mistake(section.place, "printers stand in a file of their own, not among attempt plans")
+                        for section in document.sections if section.kind == "printer"]
 
     def _values(self, section: Section, mistakes: list[Mistake]) -> dict[str, Value]:
         for setting in section.settings.values():
--- a/pipitledge/conf/parse.py
+++ b/pipitledge/conf/parse.py
@@ -22,12 +22,14 @@
 MOST_SECTIONS = 10_000
 SLICE = 25  # lines between two breaks, in which a node serves on
 T = TypeVar("T")
+PRINTER_WORDS = {"uri", "slots", "cold-for"}
 GRAMMAR = pathlib.Path(__file__).with_name("grammar.lark")
 
 # What a terminal is called in messages; all others are words of the language and stand for themselves.
 KINDS = {"TIME": "a time such as 300ms, 1.5s or 2m", "SHARE": "a share such as 10%",
          "COUNT": "a count such as 3", "PERCENTILE": "a percentile such as p95",
-         "PATH": "a path such as /order-pay/express/*", "WORD": "a class's name"}
+         "PATH": "a path such as /order-pay/express/*", "IPP_URI": "a uri such as ipp://127.0.0.1:631/ipp/print",
+         "WORD": "a name"}
 _NUMBER = re.compile(r"[-+]?(?:\d[\d_]*\.?\d*|\.\d+)(?:[eE][-+]?\d+)?")
 _UNIT = re.compile(r"[-+]?\d+(?:\.\d+)?([A-Za-zµ]+|%)")
 
@@ -131,7 +133,7 @@
         return f"{shown!r} is one word too many; the line ends before it"
     if len(words) > 7:
         what = "unknown keyword" if kind == "WORD" else "no line goes on or begins with"
-        return f"{what} {shown!r}; lines begin with defaults, class, route or a setting's keyword"
+        return f"{what} {shown!r}; lines begin with defaults, class, route, printer or a setting's keyword"
     return f"{shown!r} is not {_expected(terminals)}"
 
 
@@ -206,6 +208,8 @@
     "ATTEMPTS": lambda words: _of(units.count, words[0]),
     "ATTEMPT_TIMEOUT": lambda words: _positive(words[0]),
     "TOTAL_TIMEOUT": lambda words: _positive(words[0]), "HOLD_TIMEOUT": lambda words: _positive(words[0]),
+    "URI": lambda words: str(words[0]), "SLOTS": lambda words: _of(units.count, words[0]),
+    "COLD_FOR": lambda words: _of(units.time_ms, words[0]),
     "RETRY_ON": _outcomes, "BACKOFF": _range, "SECOND_COPY": _copy, "RETRY_BUDGET": _budget}
 
 
@@ -241,7 +245,9 @@
             mistakes.append(Mistake(route.place, f"route {route.name} has no class; 'class NAME' comes next"))
         if line.kind == "setting":
             setting = Setting(line.keyword, line.value, place, line.override)
-            if section is None:
+            if section is not None and (setting.keyword in PRINTER_WORDS) != (section.kind == "printer"):
+                mistakes.append(Mistake(place, f"{line.keyword} does not belong in a {section.kind} section"))
+            elif section is None:
                 if not lost:
                     mistakes.append(Mistake(place, f"{line.keyword} stands before any section; begin with "
                                                    "'defaults', 'class NAME' or 'route PATH'"))
--- a/pipitledge/emulator/ipp_servers.py
+++ b/pipitledge/emulator/ipp_servers.py
@@ -133,6 +133,13 @@
                 attribute("job-printer-up-time", Tag.INTEGER, model.up_time)]))
         if request.code == Op.CANCEL_JOB:
             return self._reply(request, model.cancel(now, number))
+        if request.code == Op.GET_PRINTER_ATTRIBUTES:
+            model.advance(now)
+            return self._reply(request, Status.OK, AttributeGroup(Group.PRINTER, [
+                attribute("printer-state", Tag.ENUM, 4 if model.queued() else 3),
+                attribute("printer-is-accepting-jobs", Tag.BOOLEAN, model.accepting),
+                attribute("queued-job-count", Tag.INTEGER, model.queued()),
+                attribute("printer-up-time", Tag.INTEGER, model.up_time)]))
         seen = model.look(now, number) if request.code == Op.GET_JOB_ATTRIBUTES else None
         if seen is None:
             return self._reply(request, Status.NOT_FOUND)
--- a/pipitledge/ipp/printer_link.py
+++ b/pipitledge/ipp/printer_link.py
@@ -16,13 +16,13 @@
 from pipitledge.ipp.codec import AttributeGroup, BadIpp, Group, Message, Reader, Tag, attribute, encode
 from pipitledge.ipp.document import Document
 from pipitledge.ipp.endings import ENDINGS
-from pipitledge.ipp.jobs import Jobs
+from pipitledge.ipp.jobs import Jobs, PrintRecord
 from pipitledge.ipp.model import JobState, Op
-from pipitledge.ipp.placement import Ask, Placement, Seen, Verdict
+from pipitledge.ipp.placement import Ask, Phase, Placement, Seen, Verdict
+from pipitledge.ipp.printers import PrinterEntry
 from pipitledge.net.scheduler import Scheduler, Wake
 from pipitledge.net.stream import ReceiveBuffer, Stream
 from pipitledge.net.timers import Clock
-from pipitledge.node.config import Address
 from pipitledge.node.counters import Counters, Log
 from pipitledge.node.dispatch import Dispatch, Execution
 from pipitledge.node.endings import Ending
@@ -54,10 +54,10 @@
     """Executions at printers."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, jobs: Jobs, counters: Counters, log: Log,
-                 addresses: dict[str, Address], dial_timeout_ms: float = 1_000.0) -> None:
-        """Know the printers' addresses by name."""
+                 printers: dict[str, PrinterEntry], dial_timeout_ms: float = 1_000.0) -> None:
+        """Know the printers by name."""
         self.scheduler, self.clock, self.dispatch, self.jobs = scheduler, clock, dispatch, jobs
-        self.counters, self.log, self.addresses, self.dial_ms = counters, log, addresses, dial_timeout_ms
+        self.counters, self.log, self.printers, self.dial_ms = counters, log, printers, dial_timeout_ms
 
     def start(self, execution: Execution) -> None:
         """Carry out an execution in a task of its own."""
@@ -69,7 +69,8 @@
 
     def _run(self, execution: Execution) -> None:
         passage: PrintPassage = execution.query.passage
-        ending, one = Ending.OUR_FAULT, PrinterRun(self, execution, passage)
+        ending = Ending.OUR_FAULT
+        one = PrinterRun(self, self.printers[execution.worker], passage, execution)
         try:
             verdict = one.run()
             passage.verdict = verdict
@@ -90,21 +91,35 @@
 
 
 class PrinterRun:
-    """One execution at one printer."""
+    """One execution at one printer; or, after a restart, the search for one whose node was killed."""
 
-    def __init__(self, links: PrinterLinks, execution: Execution, passage: PrintPassage) -> None:
+    def __init__(self, links: PrinterLinks, entry: PrinterEntry, passage: PrintPassage, execution: Execution | None,
+                 deadline_ms: float = 0.0) -> None:
         """Set a job-name at the printer that is ours and used once."""
-        self.links, self.execution, self.passage = links, execution, passage
-        self.address = links.addresses[execution.worker]
-        self.uri = "ipp://{}:{}/ipp/print".format(*self.address)
-        self.placement = Placement(f"{passage.number}.{execution.number}")
+        self.links, self.entry, self.passage, self.execution = links, entry, passage, execution
+        self.deadline_ms = execution.deadline_ms if execution is not None else deadline_ms
+        self.address = entry.where
+        self.uri = "ipp://{}:{}{}".format(*self.address, entry.path)
+        self.placement = Placement(f"{passage.number}.{execution.number}" if execution is not None else "")
         self.request_id = 0
 
-    def run(self) -> Verdict:
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether the module has called it off."""
+        return self.execution is not None and self.execution.abandoned
+
+    def search(self, record: PrintRecord) -> Verdict:
+        """Ask the printer what became of a job of a node that was killed; nothing is sent."""
+        self.placement = Placement(record.there_name)
+        self.placement.job_id, self.placement.up_time, self.placement.sent = record.there_id, record.up_time, True
+        self.placement.phase = Phase.LOOKING
+        return self.run(Ask.LOOK)
+
+    def run(self, ask: Ask = Ask.CREATE) -> Verdict:
         """Go from one step to the next until there is a verdict, in time for the client."""
-        ask, clock = self.placement.begin(), self.links.clock
+        clock = self.links.clock
         while ask is not Ask.END:
-            if self.execution.abandoned or clock.now() >= self.execution.deadline_ms:
+            if self.is_abandoned or clock.now() >= self.deadline_ms:
                 ask = self.placement.out_of_time()
                 continue
             try:
@@ -115,30 +130,31 @@
                 ask = self.placement.broke()
         if self.placement.leaves_orphan and self.placement.job_id:
             try:
-                self._exchange(Op.CANCEL_JOB, clock.now() + ANSWER_MS)
+                self.exchange(Op.CANCEL_JOB, clock.now() + ANSWER_MS)
             except (NotConnected, Broke):
                 self.links.counters.add("print.orphan")
         assert self.placement.verdict is not None
         return self.placement.verdict
 
     def _step(self, ask: Ask) -> Ask:
-        placement, until = self.placement, min(self.links.clock.now() + ANSWER_MS, self.execution.deadline_ms)
+        placement, until = self.placement, min(self.links.clock.now() + ANSWER_MS, self.deadline_ms)
         if ask is Ask.CREATE:
-            made = self._exchange(Op.CREATE_JOB, until)
+            made = self.exchange(Op.CREATE_JOB, until)
             number = made.first(Group.JOB, "job-id")
             if made.code >= 0x0400 or not isinstance(number, int):
                 return placement.refused(made.code)
-            self.links.jobs.move(self.passage.number, JobState.PROCESSING, printer=self.execution.worker,
-                                 there_id=number, there_name=placement.name)
-            return placement.created(number, _int(made.first(Group.JOB, "job-printer-up-time")))
+            up_time = _int(made.first(Group.JOB, "job-printer-up-time"))
+            self.links.jobs.move(self.passage.number, JobState.PROCESSING, printer=self.entry.name, there_id=number,
+                                 there_name=placement.name, up_time=up_time)
+            return placement.created(number, up_time)
         if ask is Ask.SEND:
             return self._send()
         if ask is Ask.CANCEL:
-            return placement.cancelled(self._exchange(Op.CANCEL_JOB, until).code)
+            return placement.cancelled(self.exchange(Op.CANCEL_JOB, until).code)
         if ask is Ask.LOOK_LATER:
-            self.links.scheduler.wait(min(self.links.clock.now() + AGAIN_MS, self.execution.deadline_ms))
+            self.links.scheduler.wait(min(self.links.clock.now() + AGAIN_MS, self.deadline_ms))
             return Ask.LOOK
-        told = self._exchange(Op.GET_JOB_ATTRIBUTES, until)
+        told = self.exchange(Op.GET_JOB_ATTRIBUTES, until)
         if told.code >= 0x0500:
             raise Broke
         return placement.looked(_seen(told) if told.code < 0x0400 else None)
@@ -151,9 +167,10 @@
         def begins() -> None:
             self.links.jobs.note(self.passage.number, sent=True)
             self.placement.document_began()
-            self.links.dispatch.noted(self.execution, 0.0)
+            if self.execution is not None:
+                self.links.dispatch.noted(self.execution, 0.0)
 
-        answer = self._exchange(Op.SEND_DOCUMENT, self.execution.deadline_ms, self.passage.document, begins)
+        answer = self.exchange(Op.SEND_DOCUMENT, self.deadline_ms, self.passage.document, begins)
         return self.placement.taken() if answer.code < 0x0400 else self.placement.refused(answer.code)
 
     def _message(self, op: Op) -> Message:
@@ -164,7 +181,7 @@
         if op is Op.CREATE_JOB:
             first += [attribute("requesting-user-name", Tag.NAME, self.passage.user),
                       attribute("job-name", Tag.NAME, self.placement.name)]
-        else:
+        elif op is not Op.GET_PRINTER_ATTRIBUTES:
             first.append(attribute("job-id", Tag.INTEGER, self.placement.job_id))
         if op is Op.SEND_DOCUMENT:
             first += [attribute("document-format", Tag.MIME, self.passage.format),
@@ -174,14 +191,14 @@
                                    "job-printer-up-time", "job-impressions-completed"))
         return Message((1, 1), op, self.request_id, [AttributeGroup(Group.OPERATION, first)])
 
-    def _exchange(self, op: Op, until: float, document: Document | None = None,
+    def exchange(self, op: Op, until: float, document: Document | None = None,
                   begins: Callable[[], None] = lambda: None) -> Message:
         """One request on a connection of its own, and its answer."""
         links, stream = self.links, Stream(self.links.scheduler, socket.socket(), ReceiveBuffer())
         message = encode(self._message(op))
         host = "{}:{}".format(*self.address).encode()
-        head = (b"POST /ipp/print HTTP/1.1\r\nHost: " + host + b"\r\nContent-Type: application/ipp\r\n"
-                b"Connection: close\r\n")
+        head = (b"POST " + self.entry.path.encode() + b" HTTP/1.1\r\nHost: " + host +
+                b"\r\nContent-Type: application/ipp\r\nConnection: close\r\n")
         try:
             try:
                 if not stream.dial(self.address, min(until, links.clock.now() + links.dial_ms)):
@@ -215,7 +232,7 @@
         document.on_more = task.wake
         try:
             while (part := document.read(at)) != b"":
-                if document.broken or self.execution.abandoned:
+                if document.broken or self.is_abandoned:
                     raise Broke
                 if part is None:
                     if self.links.scheduler.wait(until) is Wake.TIMEOUT:
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -45,6 +45,9 @@
     dial_timeout_ms: float
     idle_ms: float  # a worker's machine closes an idle connection after this
     attempts: str = ""  # path of the file of attempt plans; empty: there is none
+    printers: str = ""  # path of the file of printers; empty: the node does not print
+    ipp_listen: str = ""
+    ipp_store: str = ""  # path of the store of print jobs; empty: they are kept in memory
 
 
 def address(text: str) -> Address:
@@ -84,7 +87,8 @@
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
     return [key for key in ("name", "listen", "seed", "sockets", "memory_mb", "settings", "names",
-                            "dial_timeout_ms", "idle_ms", "attempts") if getattr(old, key) != getattr(new, key)]
+                            "dial_timeout_ms", "idle_ms", "attempts",
+                            "printers", "ipp_listen", "ipp_store") if getattr(old, key) != getattr(new, key)]
 
 
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
@@ -107,4 +111,6 @@
         settings=settings_from(stated), names=names,
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
-        attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")))
+        attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
+        printers=str(raw.get("printers") or ""), ipp_listen=str(raw.get("ipp_listen") or ""),
+        ipp_store=str(raw.get("ipp_store") or ""))
--- a/tests/test_ipp_sockets.py
+++ b/tests/test_ipp_sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 from collections import Counter
 from collections.abc import Iterator
 from typing import Any
@@ -15,6 +16,7 @@
 from pipitledge.emulator.faults import Fault, Faults
 from pipitledge.emulator.ipp_servers import PrinterServer, message, submit
 from pipitledge.emulator.print_day import SETTINGS
+from pipitledge.emulator.print_shop import PrintShop
 from pipitledge.emulator.printer import Printer
 from pipitledge.interface import Listing, Worker, WorkersChanged
 from pipitledge.ipp.codec import Group, Message, Tag, attribute
@@ -23,6 +25,7 @@
 from pipitledge.ipp.jobs import MAY_HAVE_PRINTED, Jobs, Memory
 from pipitledge.ipp.model import JobState, Op, Status
 from pipitledge.ipp.printer_link import PrinterLinks
+from pipitledge.ipp.printers import PrinterEntry
 from pipitledge.ipp.service import Service
 from pipitledge.node.counters import Counters
 from pipitledge.node.dispatch import Dispatch
@@ -46,7 +49,8 @@
         self.jobs = Jobs(Memory(), lambda: int(self.clock.now() / 1_000.0))
         self.dispatch = Dispatch(self.clock, self.scheduler.timers, Policy(SETTINGS, 1), self.counters, log)
         self.dispatch.links = PrinterLinks(self.scheduler, self.clock, self.dispatch, self.jobs, self.counters, log,
-                                           {one.model.name: one.address for one in self.printers}, 200.0)
+                                           {one.model.name: PrinterEntry(one.model.name, one.address, "/ipp/print")
+                                            for one in self.printers}, 200.0)
         self.scheduler.after_round = self.dispatch.round
         self.dispatch.listed(WorkersChanged(Listing.FULL, tuple(Worker(one.model.name) for one in self.printers)))
         service = Service(URI, self.jobs, lambda: int(self.clock.now() / 1_000.0), lambda: True)
@@ -220,3 +224,22 @@
     while part := document.read(at):
         at, read = at + len(part), read + part
     assert bytes(read) == bytes(sent)
+
+
+def test_a_node_that_is_killed_prints_nothing_twice_and_tells_the_truth(tmp_path: pathlib.Path) -> None:
+    """A node on sockets with a store, killed amid its work three times; the whole is in benchmarks/ipp_kill.py."""
+    shop = PrintShop(tmp_path, 4, {Fault.BREAK_AFTER: 0.04, Fault.BREAK_AMID: 0.04}, seed=2)
+    for _ in range(3):
+        shop.start()
+        while not any(one.met["GET_PRINTER_ATTRIBUTES none"] for one in shop.printers):
+            shop.turn(20.0)
+        shop.submit(25, per_s=60.0)
+        shop.kill()
+        for one in shop.printers:
+            one.met.clear()
+    shop.start()
+    shop.submit(10, per_s=30.0)
+    records = shop.settle()
+    assert shop.breaches(records) == [], shop.log.read_text()[-3_000:]
+    states = Counter(record.state for record in records)
+    assert states[JobState.COMPLETED] > 20 and sum(shop.ledger.values()) >= states[JobState.COMPLETED]
