--- a/pipitledge/cli/demo.py
+++ b/pipitledge/cli/demo.py
@@ -34,20 +34,23 @@
 START_S, END_MS = 10.0, 6_000.0
 
 
-def _scheduler(clock: Clock) -> Scheduler:
+def make_scheduler(clock: Clock) -> Scheduler:
+    """A scheduler whose tasks' exceptions end the command."""
     def crashed(fault: BaseException) -> None:
         raise fault
     return Scheduler(Timers(clock.now), crashed)
 
 
-def _address(text: str) -> tuple[str, int]:
+def read_address(text: str) -> tuple[str, int]:
+    """An address, or a usage error."""
     try:
         return address(text)
     except ConfigError as fault:
         raise click.UsageError(str(fault)) from None
 
 
-def _until_stopped(scheduler: Scheduler, what: str) -> None:
+def run_until_stopped(scheduler: Scheduler, what: str) -> None:
+    """Say that it is ready, and run until SIGTERM or SIGINT."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
     click.echo(what)
     try:
@@ -69,28 +72,28 @@
             known = ", ".join(fault.value for fault in Fault)
             raise click.UsageError(f"--fault {pair}: KIND=SHARE, with a KIND of {known}") from None
     clock, settings = Clock(), site.settings()
-    scheduler = _scheduler(clock)
+    scheduler = make_scheduler(clock)
     model = Worker(Machine(name, slots, speed), Rack(7_500.0), Audit(settings), clock.now() if cold else -1e15)
     try:
-        server = WorkerServer(scheduler, clock, _address(listen), model, settings, site.CLASSES,
+        server = WorkerServer(scheduler, clock, read_address(listen), model, settings, site.CLASSES,
                               Faults(seed, shares), Counter())
     except (OSError, ValueError) as fault:
         raise click.UsageError(str(fault)) from None
-    _until_stopped(scheduler, "ready worker {} {}:{}".format(name, *server.address))
+    run_until_stopped(scheduler, "ready worker {} {}:{}".format(name, *server.address))
 
 
 def serve_discovery(listen: str, rows: tuple[str, ...], lag_ms: float) -> None:
     """Run discovery until it is stopped."""
     clock, audit = Clock(), Audit(site.settings())
-    scheduler = _scheduler(clock)
+    scheduler = make_scheduler(clock)
     try:
-        server = DiscoveryServer(scheduler, clock, _address(listen), lag_ms)
+        server = DiscoveryServer(scheduler, clock, read_address(listen), lag_ms)
     except (OSError, ValueError) as fault:
         raise click.UsageError(str(fault)) from None
     for pair in rows:
         name, _, where = pair.partition("=")
-        server.put(row(Worker(Machine(name), Rack(0.0), audit), _address(where)), at_once=True)
-    _until_stopped(scheduler, "ready discovery {}:{}".format(*server.address))
+        server.put(row(Worker(Machine(name), Rack(0.0), audit), read_address(where)), at_once=True)
+    run_until_stopped(scheduler, "ready discovery {}:{}".format(*server.address))
 
 
 class Shop:
@@ -100,7 +103,7 @@
                  log: IO[str]) -> None:
         """Start everything; the node is ready when this returns."""
         self.clock, self.settings = Clock(), site.settings()
-        self.scheduler, self.audit = _scheduler(self.clock), Audit(self.settings)
+        self.scheduler, self.audit = make_scheduler(self.clock), Audit(self.settings)
         kinds = [fault for fault in Fault if fault is not Fault.NONE]
         drawn = Faults(seed, {kind: faults / len(kinds) for kind in kinds})
         racks, seen = dict[int, Rack](), Counter[str]()
--- a/pipitledge/cli/main.py
+++ b/pipitledge/cli/main.py
@@ -170,6 +170,61 @@
     serve_discovery(listen, rows, lag_ms)
 
 
+@main.group()
+def ipp() -> None:
+    """Print jobs: submit, list and cancel at a node; check printers; run a stand-in printer."""
+
+
+AT = click.option("--at", required=True, metavar="ADDRESS:PORT", help="Where the node speaks IPP.")
+
+
+@ipp.command("submit")
+@click.argument("file", type=FILE)
+@AT
+@click.option("--name", help="The job's name; the file's, if left out.")
+@click.option("--format", "form", default="application/octet-stream", show_default=True)
+def ipp_submit(file: pathlib.Path, at: str, name: str | None, form: str) -> None:
+    """Print a file, and wait for what became of it: exit code 0 printed, 1 not or not surely, 2 unreachable."""
+    from pipitledge.cli.ipp import submit_file
+    sys.exit(submit_file(file, at, name or file.name, form))
+
+
+@ipp.command("jobs")
+@AT
+@click.option("--completed", is_flag=True, help="Those that are over.")
+def ipp_jobs(at: str, completed: bool) -> None:
+    """List jobs."""
+    from pipitledge.cli.ipp import list_jobs
+    sys.exit(list_jobs(at, completed))
+
+
+@ipp.command("cancel")
+@click.argument("number", type=click.IntRange(1))
+@AT
+def ipp_cancel(number: int, at: str) -> None:
+    """Cancel a job that no printer has yet."""
+    from pipitledge.cli.ipp import cancel_job
+    sys.exit(cancel_job(number, at))
+
+
+@ipp.command("printers")
+@click.argument("file", type=FILE)
+def ipp_printers(file: pathlib.Path) -> None:
+    """Check a file of printers and ask each how it is: exit code 1 for mistakes or one that does not answer."""
+    from pipitledge.cli.ipp import ask_printers
+    sys.exit(ask_printers(file))
+
+
+@ipp.command("stand-in")
+@click.option("--listen", required=True, metavar="ADDRESS:PORT")
+@click.option("--name", default="p0", show_default=True)
+@click.option("--print-ms", default=500.0, show_default=True, type=click.FloatRange(1.0))
+def ipp_stand_in(listen: str, name: str, print_ms: float) -> None:
+    """Run a stand-in printer on a loopback address."""
+    from pipitledge.cli.ipp import serve_printer
+    serve_printer(listen, name, print_ms)
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,6 +15,7 @@
 
 from pipitledge.cli.main import main
 from pipitledge.emulator import site
+from pipitledge.emulator.print_shop import free_port
 
 SOUND = "class menu-plan\n    attempts 2\n"
 UNSAFE = "class menu-plan\n    attempts 9\n"
@@ -136,3 +137,38 @@
     assert code == 0, said + log.read_text()[-2_000:]
     assert "every rule kept" in said and "slot-book" in said
     assert '"execution.copy"' in log.read_text()
+
+
+def test_ipp_commands_print_list_and_ask(tmp_path: pathlib.Path) -> None:
+    """A stand-in printer and a node as processes, and the sub-commands against them."""
+    label, printers, at = tmp_path / "label", tmp_path / "printers.conf", "{}:{}".format(*free_port())
+    label.write_bytes(b"^XA" * 400)
+    where = "{}:{}".format(*free_port())
+    printers.write_text(f"printer hall-1\n    uri ipp://{where}/ipp/print\n")
+    assert call("ipp", "printers", printers)[0] == 1  # nobody answers yet
+    env = os.environ | {"PYTHONPATH": str(ROOT)}
+    stand_in = subprocess.Popen([sys.executable, "-m", "pipitledge.cli", "ipp", "stand-in", "--listen", where,
+                                 "--print-ms", "20"], cwd=ROOT, env=env, stdout=subprocess.PIPE, text=True)
+    try:
+        assert stand_in.stdout is not None and "ready printer" in stand_in.stdout.readline()
+        with Node(tmp_path, printers=str(printers), ipp_listen=at) as node:
+            node.until(" printer ")
+            code, said = call("ipp", "submit", label, "--at", at)
+            assert code == 0 and "completed" in said
+            number = said.split()[1]
+            code, said = call("ipp", "jobs", "--at", at, "--completed")
+            assert code == 0 and number in said and "label" in said
+            code, said = call("ipp", "cancel", number, "--at", at)
+            assert code == 1 and "is over" in said
+            code, said = call("ipp", "printers", printers)
+            assert code == 0 and "idle" in said and "True" in said
+            code, said = call("ipp", "submit", label, "--at", at, "--format", "image/x")
+            assert code == 1 and "0x040a" in said
+    finally:
+        stand_in.kill()
+        stand_in.wait()
+        assert stand_in.stdout is not None
+        stand_in.stdout.close()
+    assert call("ipp", "jobs", "--at", at)[0] == 2 and call("ipp", "submit", tmp_path / "no", "--at", at)[0] == 2
+    printers.write_text("printer a\n")
+    assert call("ipp", "printers", printers) == (1, f"{printers}:1:1: error: printer a has no uri\n")
