Drop cancelled timers from the heap before they pile up

Cause: 20 documents of 32 MB at once took a node 117 MB. Each wait of a stream sets a timer for 10 to 20 s later and cancels it at once; cancelled ones stayed in the heap until they were due, 80 MB of them.

From 4,096 on the heap is rebuilt without them, and then whenever it has doubled.

--- a/pipitledge/net/timers.py
+++ b/pipitledge/net/timers.py
@@ -12,6 +12,8 @@
 import time
 from collections.abc import Callable
 
+SWEEP = 4_096  # timers in the heap, cancelled ones included, from which on these are dropped now and then
+
 
 class Clock:
     """Unix milliseconds that never jump: wall time read once, plus monotonic time since.
@@ -50,14 +52,23 @@
         self.now = now
         self._heap: list[tuple[float, int, Timer]] = []
         self._count = 0
+        self._sweep_at = SWEEP
 
     def at(self, due_ms: float, action: Callable[[], None]) -> Timer:
         """Call the action at that time or, if it is past, in the next round."""
         timer = Timer(action)
         self._count += 1  # equal times fire in the order they were set, and timers are never compared
+        if len(self._heap) >= self._sweep_at:
+            self._sweep()
         heapq.heappush(self._heap, (due_ms, self._count, timer))
         return timer
 
+    def _sweep(self) -> None:
+        """Drop what was cancelled. Many short waits with late ends, as a stream's, would pile up until those."""
+        self._heap = [entry for entry in self._heap if entry[2].action is not None]
+        heapq.heapify(self._heap)
+        self._sweep_at = max(SWEEP, 2 * len(self._heap))
+
     def wait_ms(self) -> float | None:
         """Time until the next timer is due, 0 if one is; None without any."""
         heap = self._heap
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -171,3 +171,20 @@
     assert heard == [Wake.NOTICE, Wake.READY]
     for sock in (ours, far, _old_far):
         sock.close()
+
+
+def test_cancelled_timers_do_not_pile_up_and_none_is_lost() -> None:
+    """A stream of 640 MB once left 80 MB of them until they would have been due."""
+    now, fired = [0.0], list[int]()
+    timers = Timers(lambda: now[0])
+    for number in range(30_000):
+        timer = timers.at(1_000.0 + number % 7, lambda number=number: fired.append(number))
+        if number % 100:
+            timer.cancel()
+    assert len(timers._heap) <= 4_096
+    now[0] = 1_003.0
+    timers.run_due(pytest.fail)
+    assert fired == sorted(range(0, 30_000, 100), key=lambda n: (n % 7, n))[:len(fired)] and len(fired) > 100
+    now[0] = 2_000.0
+    timers.run_due(pytest.fail)
+    assert len(fired) == 300
