Hear operators at a second address: workers out, lame duck, rejoin

Change: console.py (machine and driver, tasks that run ahead of clients' work, 8 places of its own), duty.py (one machine for serving, draining, stopping), a set that the host group lays over the list (an ordinary drain, then a worker freshly started), Operations between them.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -11,17 +11,20 @@
 from pipitledge.net.scheduler import Scheduler
 from pipitledge.net.timers import Clock, Timers
 from pipitledge.node import config
+from pipitledge.node.console import PLACES, Console
 from pipitledge.node.counters import Counters, Log, writer
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.front import SPARE, Front
 from pipitledge.node.host_group import HostGroup
+from pipitledge.node.operations import Operations
 from pipitledge.node.plan_file import PlanFile
 from pipitledge.node.server_link import Pool
 from pipitledge.node.signals import Signals
 from pipitledge.policy import Policy
 
-# Descriptors: standard streams, signals, listener, watch and its successor, and some that libraries open.
-BASE = 24
+# Descriptors: standard streams, signals, listeners, watch and its successor, and some that libraries open; callers
+# at the second address.
+BASE = 24 + PLACES
 # Of the rest, for server links: clients need a third of all for requests, and the widest list of workers
 # takes a connection for each of its slots.
 LINK_SHARE = 0.4
@@ -105,6 +108,8 @@
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen, clients,
                   bodies(told.memory_mb))
     front.plan_of = plans.plan
+    if told.console is not None:
+        Console(scheduler, clock, counters, log, told.console, Operations(dispatch, group, front).answer)
     if told.printers:
         from pipitledge.ipp.node import PrintSide
         try:
--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -30,11 +30,11 @@
 class Task:
     """One greenlet. A notice to a task that runs is dropped: tasks look at their state, then park."""
 
-    __slots__ = ("_greenlet", "_scheduler", "parked")
+    __slots__ = ("_greenlet", "_scheduler", "parked", "urgent")
 
-    def __init__(self, scheduler: Scheduler, run: Callable[[], None]) -> None:
+    def __init__(self, scheduler: Scheduler, run: Callable[[], None], urgent: bool) -> None:
         """Make the greenlet; the scheduler starts it in its next round."""
-        self._scheduler = scheduler
+        self._scheduler, self.urgent = scheduler, urgent
         self._greenlet = greenlet.greenlet(run, scheduler.hub)
         self.parked = True
 
@@ -42,7 +42,8 @@
         """Make a parked task ready."""
         if self.parked:
             self.parked = False
-            self._scheduler.ready.append((self._greenlet, why))
+            ready = self._scheduler.ready
+            (ready.appendleft if self.urgent else ready.append)((self._greenlet, why))
 
 
 class Scheduler:
@@ -61,8 +62,8 @@
         self._tasks: dict[greenlet.greenlet, Task] = {}
         self._running = False
 
-    def spawn(self, run: Callable[[], None]) -> Task:
-        """Start a task."""
+    def spawn(self, run: Callable[[], None], urgent: bool = False) -> Task:
+        """Start a task. An urgent one runs ahead of all others that are ready; there may be few of them."""
         def guarded() -> None:
             try:
                 run()
@@ -71,7 +72,7 @@
             finally:
                 del self._tasks[greenlet.getcurrent()]
 
-        task = Task(self, guarded)
+        task = Task(self, guarded, urgent)
         self._tasks[task._greenlet] = task
         task.wake()
         return task
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -44,6 +44,7 @@
     names: Names
     dial_timeout_ms: float
     idle_ms: float  # a worker's machine closes an idle connection after this
+    console: Address | None = None  # the second address, for operators' calls
     attempts: str = ""  # path of the file of attempt plans; empty: there is none
     printers: str = ""  # path of the file of printers; empty: the node does not print
     ipp_listen: str = ""
@@ -87,7 +88,7 @@
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
     return [key for key in ("name", "listen", "seed", "sockets", "memory_mb", "settings", "names",
-                            "dial_timeout_ms", "idle_ms", "attempts",
+                            "dial_timeout_ms", "idle_ms", "console", "attempts",
                             "printers", "ipp_listen", "ipp_store") if getattr(old, key) != getattr(new, key)]
 
 
@@ -100,6 +101,7 @@
 
     stated, limits = raw.get("settings") or {}, raw.get("limits") or {}
     allow, known = stated.get("permissions") or {}, raw.get("known")
+    console = raw.get("console") or environ.get("BALANCER_CONSOLE")
     names = Names(
         classes=_bytes(_names(stated.get("lanes"))), tenants=_bytes(_names(stated.get("realms"))),
         zones=_names(stated.get("zones")), kinds=_names(stated.get("shapes")),
@@ -111,6 +113,7 @@
         settings=settings_from(stated), names=names,
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
+        console=address(str(console)) if console else None,
         attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
         printers=str(raw.get("printers") or ""), ipp_listen=str(raw.get("ipp_listen") or ""),
         ipp_store=str(raw.get("ipp_store") or ""))
--- /dev/null
+++ b/pipitledge/node/console.py
@@ -0,0 +1,217 @@
+"""The second address: operators' calls, one line a connection, answered ahead of all work for clients."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import re
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from pipitledge.net.scheduler import Scheduler, Wake
+from pipitledge.net.stream import ReceiveBuffer, Stream
+from pipitledge.net.timers import Clock
+from pipitledge.node.config import Address
+from pipitledge.node.counters import Counters, Log
+
+MOST_LINE = 256  # bytes, with its end
+LINE_MS, WRITE_MS = 2_000.0, 1_000.0  # from accepting to the whole line; for the answer
+PLACES = 8  # calls at one time; their descriptors are set aside at the start, so that no client can take them
+AGAIN_MS = 20.0  # without a descriptor to spare
+
+
+class Verb(Enum):
+    """What can be called."""
+
+    PING = b"PING"
+    DETACH = b"DETACH"
+    ATTACH = b"ATTACH"
+    LAMEDUCK = b"LAMEDUCK"
+    REJOIN = b"REJOIN"
+
+
+WITH_ID = frozenset({Verb.DETACH, Verb.ATTACH})
+_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call that can be read."""
+
+    verb: Verb
+    worker: str = ""
+
+
+class BadCall(Exception):
+    """A line that is no call; the text says why, to the caller too."""
+
+
+def read_call(line: bytes) -> Call:
+    """Read one line without its end. Names are as told: a call in small letters is none."""
+    words = line.split()
+    try:
+        verb = Verb(words[0])
+    except (ValueError, IndexError):
+        raise BadCall("unknown call") from None
+    if len(words) != 1 + (verb in WITH_ID):
+        raise BadCall(f"{verb.value.decode()} takes {'one id' if verb in WITH_ID else 'nothing else'}")
+    if len(words) > 1 and not _ID.fullmatch(words[1]):
+        raise BadCall("not an id")
+    return Call(verb, words[1].decode() if len(words) > 1 else "")
+
+
+class CallSide:
+    """The states of one connection: fed bytes, it gives one call; BadCall where there will never be one."""
+
+    def __init__(self) -> None:
+        """Wait for the first byte."""
+        self.line = bytearray()
+        self.over = False
+
+    def receive(self, data: bytes) -> Call | None:
+        """Take what has come. What follows the first line is not looked at."""
+        if self.over:
+            return None
+        self.line += data
+        end = self.line.find(b"\n")
+        if end >= MOST_LINE or (end < 0 and len(self.line) >= MOST_LINE):
+            self.over = True
+            raise BadCall("line too long")
+        if end < 0:
+            return None
+        self.over = True
+        return read_call(bytes(self.line[:end]))
+
+    def end(self) -> None:
+        """Take note that the caller sends no more: half a call is none."""
+        if not self.over:
+            self.over = True
+            raise BadCall("half a call")
+
+
+def answer_line(no: str | None) -> bytes:
+    """Give the answer to a call: yes, or no with its reason."""
+    return b"+OK\n" if no is None else b"-ERR " + no.encode("ascii", "replace") + b"\n"
+
+
+Answerer = Callable[[Call], str | None]  # None is yes: it is done; else why not. It may wait, in the caller's task
+
+
+class Console:
+    """Listens at the second address; each caller has a task that runs before those of clients."""
+
+    def __init__(self, scheduler: Scheduler, clock: Clock, counters: Counters, log: Log, listen: Address,
+                 answerer: Answerer) -> None:
+        """Open the listening socket."""
+        self.scheduler, self.clock, self.counters, self.log = scheduler, clock, counters, log
+        self.answerer = answerer
+        self.callers: dict[Caller, None] = {}  # longest here first
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(listen)
+        self.listener.listen(64)
+        self.listener.setblocking(False)
+        scheduler.spawn(self._accept, urgent=True)
+
+    def _accept(self) -> None:
+        short = False
+        while True:
+            self.scheduler.wait(self.clock.now() + AGAIN_MS if short else float("inf"),
+                                -1 if short else self.listener.fileno())
+            try:
+                short = not self._accept_all()
+            except Exception as fault:  # whatever one caller does, the next is heard
+                self.scheduler.crashed(fault)
+
+    def _accept_all(self) -> bool:
+        """Accept one caller for each place; False where no descriptor or no place is to be had just now."""
+        for _ in range(PLACES):
+            if len(self.callers) >= PLACES and not self._make_room():
+                return False
+            try:
+                sock, _ = self.listener.accept()
+            except BlockingIOError:
+                return True
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                    self.counters.add("console.no-descriptor")
+                    return False
+                continue
+            self.callers[Caller(self, sock)] = None
+        return True
+
+    def _make_room(self) -> bool:
+        """Close the caller who has been longest without a whole line; one that waits for its answer stays."""
+        for caller in self.callers:
+            if not caller.called:
+                del self.callers[caller]
+                caller.give_way()
+                return True
+        return False
+
+
+class Caller:
+    """One call: read a line, have it answered, close."""
+
+    def __init__(self, console: Console, sock: socket.socket) -> None:
+        """Take over an accepted socket."""
+        self.console, self.called, self.gives_way = console, False, False
+        self.stream = Stream(console.scheduler, sock, ReceiveBuffer(MOST_LINE, MOST_LINE))
+        self.until = console.clock.now() + LINE_MS
+        self.task = console.scheduler.spawn(self.run, urgent=True)
+
+    def give_way(self) -> None:
+        """Close soon: the place is another caller's."""
+        self.gives_way = True
+        self.task.wake()
+
+    def run(self) -> None:
+        """Answer the call, whatever it is; every way out closes the connection."""
+        console, what, no = self.console, "bad", "internal error"
+        try:
+            call = self._call()
+            if call is None:
+                what = "dropped"
+                return
+            self.called, what = True, call.verb.value.decode().lower()
+            answer = console.answerer(call)
+            console.log("console", call=what, id=call.worker or "-", answer="yes" if answer is None else answer)
+            self._write(answer_line(answer))
+        except BadCall as fault:
+            console.log("console", call="bad", why=fault)
+            self._write(answer_line(str(fault)))
+        except OSError:
+            what = "dropped"
+        except Exception:
+            self._write(answer_line(no))
+            raise
+        finally:
+            console.counters.add(f"console.{what}")
+            console.callers.pop(self, None)
+            self.stream.close()
+
+    def _call(self) -> Call | None:
+        """Read the call; None where the caller left without a byte of one, or has to give way."""
+        side, stream = CallSide(), self.stream
+        while True:
+            if self.gives_way:
+                return None
+            why = stream.readable(self.until)
+            if why is Wake.TIMEOUT:
+                raise BadCall("too slow")
+            if why is Wake.READY and (size := stream.read()) >= 0:
+                if not size:
+                    if not side.line:
+                        return None
+                    side.end()
+                with memoryview(stream.buffer.data)[stream.buffer.start:stream.buffer.end] as came:
+                    call = side.receive(bytes(came))
+                stream.buffer.consume(len(stream.buffer))
+                if call is not None:
+                    return call
+
+    def _write(self, answer: bytes) -> None:
+        with contextlib.suppress(OSError):
+            self.stream.write([answer], self.console.clock.now() + WRITE_MS)
--- /dev/null
+++ b/pipitledge/node/duty.py
@@ -0,0 +1,89 @@
+"""Whether the node serves, sends clients away or stops: one machine for LAMEDUCK, REJOIN and SIGTERM, without I/O."""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+
+# LAMEDUCK: 4 s after it no connection may be idle or hold a job of the last 2 s. A tier may have one node only:
+# who is closed early is served by nobody, so connections are used for as long as that allows.
+SHED_MS, SHED_END_MS = 1_600.0, 3_600.0
+# SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, plus 0.7 s. Until
+# LAST_MS before that we serve as ever, and SPARE_MS before it every query taken since SIGTERM has its answer.
+KILL_LONGEST_MS, KILL_AFTER_MS, LAST_MS, SPARE_MS = 3_000.0, 700.0, 900.0, 200.0
+STOP_MS = 500.0  # at the least: connections still come for 0.2 to 0.4 s
+
+
+class Stage(Enum):
+    """How far the node is on duty."""
+
+    SERVING = "serving"
+    DRAINING = "draining"  # not ready, serves as ever
+    SHEDDING = "shedding"  # not ready; idle connections close, busy ones after their answer; who comes is served
+    STOPPING = "stopping"  # after SIGTERM: not ready, serves as ever
+    CLOSING = "closing"  # takes nobody in, and ends once nothing is held
+
+
+LAME = frozenset({Stage.DRAINING, Stage.SHEDDING})
+STOPS = frozenset({Stage.STOPPING, Stage.CLOSING})
+
+
+class Duty:
+    """Told of calls and of time, it says which stage holds. Any order and any repeat of calls is harmless."""
+
+    def __init__(self) -> None:
+        """Begin to serve."""
+        self.stage = Stage.SERVING
+        self.due_ms = math.inf  # when the next stage comes by itself
+        self.end_by_ms = math.inf  # what is taken from now on has its answer by then
+        self._was_lame = False  # before it was told to stop: its time to shed goes on
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether clients should be sent here."""
+        return self.stage is Stage.SERVING
+
+    @property
+    def sheds(self) -> bool:
+        """Whether connections end as soon as nothing is under way on them."""
+        return self.stage in (Stage.SHEDDING, Stage.CLOSING) or self._was_lame
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether nobody is taken in any more."""
+        return self.stage is Stage.CLOSING
+
+    def lame_duck(self, now_ms: float) -> bool:
+        """Send clients away; True if that is news. A node that stops does so already."""
+        if self.stage is not Stage.SERVING:
+            return False
+        self.stage, self.due_ms = Stage.DRAINING, now_ms + SHED_MS
+        return True
+
+    def rejoin(self) -> bool:
+        """End the drain; False if the node stops, from which there is no way back."""
+        if self.stage in STOPS:
+            return False
+        self.stage, self.due_ms, self.end_by_ms = Stage.SERVING, math.inf, math.inf
+        return True
+
+    def stop(self, now_ms: float, longest_ms: float) -> bool:
+        """SIGTERM: serve while there is time, then answer all that is held and close; True if that is news."""
+        if self.stage in STOPS:
+            return False
+        self._was_lame = self.stage in LAME
+        killed = min(longest_ms, KILL_LONGEST_MS) + KILL_AFTER_MS
+        self.stage, self.due_ms = Stage.STOPPING, now_ms + max(STOP_MS, killed - LAST_MS)
+        self.end_by_ms = now_ms + killed - SPARE_MS
+        return True
+
+    def tick(self, now_ms: float) -> bool:
+        """Let time pass; True if another stage holds now."""
+        if now_ms < self.due_ms:
+            return False
+        if self.stage is Stage.DRAINING:
+            self.stage, self.end_by_ms = Stage.SHEDDING, self.due_ms + SHED_END_MS - SHED_MS
+        elif self.stage is Stage.STOPPING:
+            self.stage = Stage.CLOSING
+        self.due_ms = math.inf
+        return True
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -18,10 +18,11 @@
 from pipitledge.interface import UNLIMITED, JobArrived, Repeat, Settings
 from pipitledge.net.scheduler import Scheduler, Wake
 from pipitledge.net.stream import Part, ReceiveBuffer, Stream
-from pipitledge.net.timers import Clock
+from pipitledge.net.timers import Clock, Timer
 from pipitledge.node.config import Address, Names
 from pipitledge.node.counters import Counters, Log
 from pipitledge.node.dispatch import Answer, Dispatch, Failure, Query, Served
+from pipitledge.node.duty import Duty
 from pipitledge.node.endings import Ending
 from pipitledge.node.plan_file import PlanOf, unlimited
 from pipitledge.node.server_link import Passage
@@ -32,10 +33,6 @@
 REQUEST_MS = 2_500.0
 FRESH_MS = 250.0  # who has not sent a whole request by then gives way first when places are short
 WRITE_MS, LINGER_MS = 10_000.0, 2_000.0
-# SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s at most, plus 0.7 s. Until
-# LAST_MS before that we serve as ever, and SPARE_MS before it every query taken since SIGTERM has its answer.
-KILL_LONGEST_MS, KILL_AFTER_MS, LAST_MS, SPARE_MS = 3_000.0, 700.0, 900.0, 200.0
-STOP_MS = 500.0  # at the least: connections still come for 0.2 to 0.4 s
 ACCEPT_AGAIN_MS = 20.0  # without a descriptor to spare
 SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
 AT_ONCE = 12  # accepted in a round: who makes room for them closes in the next, and the tasks need their turn
@@ -170,7 +167,7 @@
             raise BadMessage(503, "no memory for the body")
 
     def _closes(self) -> bool:
-        return self.front.closing or self.over_budget
+        return self.front.duty.sheds or self.over_budget
 
     def _write(self, parts: Sequence[Part]) -> bool:
         return self.stream.write(parts, self.front.clock.now() + WRITE_MS)
@@ -220,7 +217,8 @@
         """Answer a request; None if the client left before its answer."""
         front = self.front
         if request.target == b"/-/ready" and request.method == b"GET":
-            return self.side.answer(503 if front.stopping else 200, b"", close=front.stopping)
+            ready = front.duty.is_ready
+            return self.side.answer(200 if ready else 503, b"", close=not ready)
         arrival = read_arrival(request, front.names, front.settings)
         if (plan := front.plan_of(arrival.job_class, request.target)) is not UNLIMITED:
             arrival = arrival._replace(plan=plan)
@@ -269,7 +267,8 @@
         self.idle: dict[ClientLink, None] = {}  # longest idle first
         self.fresh: dict[ClientLink, None] = {}  # no whole request has come yet; longest here first
         self.lingering: dict[ClientLink, None] = {}  # told what was bad, and not gone yet
-        self.stopping = self.closing = False
+        self.duty = Duty()
+        self._due: Timer | None = None  # of the next stage of duty
         self.stopped: bool = False
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -280,7 +279,7 @@
 
     def _accept(self) -> None:
         until = math.inf
-        while not self.closing:
+        while not self.duty.is_closing:
             fd = self.listener.fileno() if until == math.inf else -1
             self.scheduler.wait(until, fd)
             try:
@@ -315,7 +314,7 @@
             self.counters.add("client.accepted")
             over = len(self.links) >= self.most and not self._shed()  # only now: somebody did come
             link = ClientLink(self, sock, over)
-            if self.closing:
+            if self.duty.sheds:
                 link.leave = Ending.STOPPING
             self.links.add(link)
         return True
@@ -359,18 +358,45 @@
         Clients use the connections they have for as long as these stay open, and a tier may have one node
         only: what is closed early is not served elsewhere but lost to them until the restart.
         """
-        if not self.stopping:
-            self.stopping, now = True, self.clock.now()
-            longest = max(job_class.deadline_ms for job_class in self.settings.classes)
-            killed = min(longest, KILL_LONGEST_MS) + KILL_AFTER_MS
-            self.dispatch.end_by_ms = now + killed - SPARE_MS
-            self.scheduler.timers.at(now + max(STOP_MS, killed - LAST_MS), self._close)
-
-    def _close(self) -> None:
-        self.closing = True
-        self.accepting.wake()
+        if self.duty.stop(self.clock.now(), max(job_class.deadline_ms for job_class in self.settings.classes)):
+            self._follow()
+
+    @property
+    def takes(self) -> bool:
+        """Whether clients are taken in, wherever they were sent."""
+        return not self.duty.is_closing
+
+    def lame_duck(self) -> None:
+        """Send clients away, and go on running."""
+        if self.duty.lame_duck(self.clock.now()):
+            self._follow()
+
+    def rejoin(self) -> bool:
+        """End the drain; False if the node stops."""
+        rejoins = self.duty.rejoin()
+        if rejoins:
+            self._follow()
+        return rejoins
+
+    def _follow(self) -> None:
+        """Do what the stage of duty asks that holds now."""
+        duty = self.duty
+        self.log("duty", stage=duty.stage.value, open=self.dispatch.open, clients=len(self.links))
+        self.dispatch.end_by_ms = duty.end_by_ms
+        if self._due is not None:
+            self._due.cancel()
+        self._due = self.scheduler.timers.at(duty.due_ms, self._tick) if duty.due_ms < math.inf else None
+        if duty.sheds:
+            for link in [*self.idle, *self.fresh, *self.lingering]:
+                self._close_idle(link, Ending.STOPPING)
+        if duty.is_closing:
+            self.accepting.wake()
+
+    def _tick(self) -> None:
+        if self.duty.tick(self.clock.now()):
+            self._follow()
 
     def _check_stopped(self) -> None:
-        if self.closing and self.listener.fileno() < 0 and not self.links:
+        if self.duty.is_closing and self.listener.fileno() < 0 and not self.links:
             self.stopped = True
             self.scheduler.stop()
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -58,6 +58,9 @@
         self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
         self.version: int | None = None
         self.addresses: dict[str, Address] = {}
+        self.told: dict[str, Worker] = {}  # the list as discovery told it, without what operators laid over it
+        self.out: dict[str, float] = {}  # workers that operators took out, and when
+        self.cold_from: dict[str, float] = {}  # workers back in use: the latest that they can have been restarted
         self._watches = 0  # begun so far; the newest is the one that counts
         self._watching: Task | None = None
 
@@ -88,6 +91,41 @@
         if replaced is not None:
             replaced.wake()
 
+    # ---- what operators lay over the list
+
+    def detach(self, worker: str) -> bool:
+        """Take a worker out: whatever the list says, for the module it drains. False if nobody has this id."""
+        if worker not in self.told and worker not in self.out:
+            return False
+        if worker not in self.out:
+            self.out[worker] = self.clock.now()
+            self.cold_from.pop(worker, None)
+            self._retell(worker)
+            self.pool.retire(worker)  # it is going to be restarted, which breaks them
+        return True
+
+    def attach(self, worker: str) -> bool:
+        """Use a worker again. It was restarted meanwhile, so it is cold; False if nobody has this id."""
+        if worker not in self.told and worker not in self.out:
+            return False
+        if (since := self.out.pop(worker, None)) is not None:
+            row = self.told.get(worker)
+            if row is None or row.started_ms < since:  # discovery is late with it, and it may be as cold as can be
+                self.cold_from[worker] = self.clock.now()
+            self._retell(worker)
+        return True
+
+    def _retell(self, worker: str) -> None:
+        """Tell the module what a worker is by now; one that the list has dropped it has dropped too."""
+        if (row := self.told.get(worker)) is not None:
+            self.dispatch.listed(WorkersChanged(Listing.DELTA, (self._overlaid(row),)))
+
+    def _overlaid(self, row: Worker) -> Worker:
+        """A row of the list as the module is to have it: no news undoes what operators said."""
+        if row.id in self.out and row.state is State.SERVING:
+            return row._replace(state=State.DRAINING)
+        return row._replace(started_ms=max(row.started_ms, self.cold_from.get(row.id, 0.0)))
+
     def _begin(self) -> None:
         self._watches += 1
         number = self._watches
@@ -98,6 +136,8 @@
         rows = []
         whole = listing is not Listing.DELTA
         addresses = {} if whole else dict(self.addresses)
+        if whole:
+            self.told = {}
         told = said.get("targets")
         for raw in told if isinstance(told, list) else []:
             try:
@@ -106,11 +146,13 @@
                 self.counters.add("list.bad-row")
                 self.log("bad-row", why=fault, row=str(raw)[:120])
                 continue
-            rows.append(worker)
+            rows.append(self._overlaid(worker))
             if worker.state is State.GONE:
                 addresses.pop(worker.id, None)
+                self.told.pop(worker.id, None)
             else:
                 addresses[worker.id] = where
+                self.told[worker.id] = worker
         if isinstance(said.get("rev"), int):
             self.version = said["rev"]
         self.addresses = addresses
--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -281,6 +281,13 @@
                 self.idle[worker].remove(link)
                 link.task.wake()
 
+    def retire(self, worker: str) -> None:
+        """Close the links to a worker: idle ones now, the others after their answer."""
+        for link in self.links:
+            link.retired |= link.worker == worker
+        for link in self.idle.pop(worker, []):
+            link.task.wake()
+
     def closed(self, link: ServerLink) -> None:
         """Forget a link."""
         self.links.discard(link)
--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -18,6 +18,7 @@
 from pipitledge.node.config import Names
 from pipitledge.node.counters import Counters
 from pipitledge.node.dispatch import Answer, Dispatch
+from pipitledge.node.duty import Duty
 from pipitledge.node.front import ClientLink, Front
 from pipitledge.node.host_group import HostGroup
 from pipitledge.node.server_link import Passage, Pool
@@ -136,8 +137,7 @@
                                 "counters": self.counters, "log": self.log, "names": NAMES,
                                 "settings": SETTINGS, "most": 3, "most_held": 1 << 20, "held": 0,
                                 "links": set(), "idle": {}, "fresh": {},
-                                "lingering": {}, "stopping": False, "closing": False,
-                                "stopped": False}.items():
+                                "lingering": {}, "duty": Duty(), "_due": None, "stopped": False}.items():
                 setattr(self.front, name, value)
         ours, far = socket.socketpair()
         far.setblocking(False)
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,180 @@
+"""The second address: calls in any pieces, callers who do no good, and places that are never all taken."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from net_helper import Rig, read
+
+from pipitledge.node.console import LINE_MS, MOST_LINE, PLACES, BadCall, Call, CallSide, Console, Verb, read_call
+from pipitledge.node.duty import LAME, SHED_END_MS, SHED_MS, STOPS, Duty, Stage
+
+DERANDOMISED = hypothesis_settings(derandomize=True, deadline=None, max_examples=200, database=None)
+
+
+@pytest.fixture
+def rig(monkeypatch: pytest.MonkeyPatch) -> Iterator[Rig]:
+    made = Rig(monkeypatch)
+    yield made
+    made.close()
+    assert not made.crashes
+
+
+def called(side: CallSide, parts: list[bytes]) -> Call | str | None:
+    try:
+        for part in parts:
+            if (call := side.receive(part)) is not None:
+                return call
+        side.end()
+    except BadCall as fault:
+        return str(fault)
+    return None
+
+
+@DERANDOMISED
+@given(line=st.one_of(st.binary(max_size=300), st.sampled_from([b"PING\r\n", b"DETACH s-1\n", b"LAMEDUCK\nPING\n"])),
+       cuts=st.lists(st.integers(0, 300), max_size=4))
+def test_a_call_is_the_same_however_its_bytes_fall(line: bytes, cuts: list[int]) -> None:
+    at = [0, *sorted(cuts), len(line)]
+    pieces = [line[start:end] for start, end in itertools.pairwise(at)]
+    whole = called(CallSide(), [line])
+    assert called(CallSide(), pieces) == whole
+    head, end, _ = line.partition(b"\n")
+    if not end or len(head) >= MOST_LINE:
+        assert whole in ("half a call", "line too long")
+
+
+@pytest.mark.parametrize("line, call", [
+    (b"PING", Call(Verb.PING)), (b"PING\r", Call(Verb.PING)), (b"DETACH s-1 ", Call(Verb.DETACH, "s-1")),
+    (b"ATTACH s-1", Call(Verb.ATTACH, "s-1")), (b"LAMEDUCK", Call(Verb.LAMEDUCK)), (b"REJOIN", Call(Verb.REJOIN))])
+def test_calls_are_read(line: bytes, call: Call) -> None:
+    assert read_call(line) == call
+
+
+@pytest.mark.parametrize("line", [b"", b" ", b"ping", b"PONG", b"PING PING", b"DETACH", b"DETACH a b", b"ATTACH \xff",
+                                  b"DETACH " + b"x" * 129])
+def test_what_is_no_call_is_told(line: bytes) -> None:
+    with pytest.raises(BadCall):
+        read_call(line)
+
+
+class Operators:
+    """A console that says yes, or why not, and callers on loopback."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.calls, self.no = rig, list[Call](), dict[Verb, str]()
+        self.console = Console(rig.scheduler, rig, rig.counters, rig.log, ("127.0.0.1", 0),  # type: ignore[arg-type]
+                               self.answer)
+        rig.settle()
+
+    def answer(self, call: Call) -> str | None:
+        self.calls.append(call)
+        return self.no.get(call.verb)
+
+    def caller(self, said: bytes = b"") -> socket.socket:
+        sock = socket.create_connection(self.console.listener.getsockname())
+        sock.setblocking(False)
+        self.rig.open.append(sock)
+        sock.send(said)
+        self.rig.settle()
+        return sock
+
+
+def test_yes_and_no_are_one_line_and_the_connection_ends(rig: Rig) -> None:
+    operators = Operators(rig)
+    operators.no[Verb.DETACH] = "no such worker"
+    for said, answer in ((b"PING\n", b"+OK\n"), (b"DETACH s-9\n", b"-ERR no such worker\n"),
+                         (b"nonsense\n", b"-ERR unknown call\n"), (b"x" * 400, b"-ERR line too long\n")):
+        caller = operators.caller(said)
+        assert read(caller) == answer and read(caller) is None
+    assert operators.calls == [Call(Verb.PING), Call(Verb.DETACH, "s-9")] and not operators.console.callers
+
+
+def test_slow_half_and_silent_callers_hold_nobody_up(rig: Rig) -> None:
+    operators = Operators(rig)
+    half = operators.caller(b"DETACH s-")
+    half.shutdown(socket.SHUT_WR)
+    rig.settle()
+    assert read(half) == b"-ERR half a call\n"
+    slow = [operators.caller(b"PI" if number % 2 else b"") for number in range(PLACES + 3)]
+    assert read(operators.caller(b"PING\n")) == b"+OK\n"
+    assert [read(sock) for sock in slow[:4]] == [None] * 4 and read(slow[-1]) == b""  # the eldest gave way
+    rig.settle(LINE_MS)
+    assert read(slow[-1]) == b"-ERR too slow\n" and not operators.console.callers
+
+
+def test_a_crowd_at_the_second_address_is_served_in_turn(rig: Rig) -> None:
+    operators = Operators(rig)
+    crowd = [socket.create_connection(operators.console.listener.getsockname()) for _ in range(40)]
+    for sock in crowd:
+        sock.send(b"PING\n")
+    rig.settle()
+    rig.settle()
+    rig.open += crowd
+    assert [sock.recv(64) for sock in crowd] == [b"+OK\n"] * 40
+
+
+def test_a_call_runs_ahead_of_clients_that_are_ready(rig: Rig) -> None:
+    operators, order = Operators(rig), list[str]()
+    sock = socket.create_connection(operators.console.listener.getsockname())
+    rig.open.append(sock)
+    rig.settle()
+    for _ in range(100):
+        rig.scheduler.spawn(lambda: order.append("client"))
+    sock.send(b"PING\n")
+    operators.console.answerer = lambda _: order.append("call")
+    rig.scheduler._poll_once(0.0)
+    rig.settle()
+    assert order[0] == "call" and len(order) == 101
+
+
+def test_a_fault_of_ours_is_answered_no_and_the_next_call_is_heard(rig: Rig) -> None:
+    operators = Operators(rig)
+    operators.console.answerer = lambda call: str(1 // 0)
+    assert read(operators.caller(b"PING\n")) == b"-ERR internal error\n"
+    assert [type(fault) for fault in rig.crashes] == [ZeroDivisionError]
+    rig.crashes.clear()
+    operators.console.answerer = operators.answer
+    assert read(operators.caller(b"PING\n")) == b"+OK\n"
+
+
+# ---- whether the node serves
+
+
+@DERANDOMISED
+@given(steps=st.lists(st.tuples(st.sampled_from(["lame", "rejoin", "stop", "wait"]), st.integers(0, 3_000)),
+                      max_size=12))
+def test_any_order_of_calls_and_signals_leads_to_what_its_model_says(steps: list[tuple[str, int]]) -> None:
+    duty, now = Duty(), 1_000.0
+    lame_at: float | None = None
+    stop_at: float | None = None
+    for step, wait in steps:
+        now += wait
+        duty.tick(now)
+        if step == "lame":
+            news = duty.lame_duck(now)
+            assert news == (lame_at is None and stop_at is None)
+            lame_at = now if news else lame_at
+        elif step == "rejoin":
+            assert duty.rejoin() == (stop_at is None)
+            lame_at = None if stop_at is None else lame_at
+        elif step == "stop":
+            news = duty.stop(now, 5_000.0)
+            assert news == (stop_at is None)
+            stop_at = now if news else stop_at
+        assert duty.is_ready == (duty.stage is Stage.SERVING) == (lame_at is None and stop_at is None)
+        assert (duty.stage in STOPS) == (stop_at is not None)
+        assert duty.is_closing == (stop_at is not None and now >= stop_at + 2_800.0)
+        if stop_at is not None:
+            assert duty.end_by_ms == stop_at + 3_500.0 and duty.sheds == (duty.is_closing or lame_at is not None)
+        elif lame_at is not None:
+            assert duty.stage in LAME and duty.sheds == (now >= lame_at + SHED_MS)
+            assert not duty.sheds or duty.end_by_ms == lame_at + SHED_END_MS
+        else:
+            assert not duty.sheds and duty.end_by_ms == duty.due_ms == float("inf")
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import socket
 from collections.abc import Iterator
 
@@ -488,8 +489,8 @@
     fars[0].send(b"POST / nonsense\r\n\r\n")
     rig.settle()
     front.accepting = rig.scheduler.spawn(front._accept)
-    front._close()
-    rig.settle(1.0)
+    front.stop()
+    rig.settle(2_800.0)
     assert front.stopped
 
 
@@ -507,6 +508,53 @@
     assert b"502" in (read(fars[0]) or b"") and not rig.dispatch.open
 
 
+def test_a_lame_duck_serves_for_a_while_then_holds_nobody_and_runs_on(rig: Rig) -> None:
+    """4 s after LAMEDUCK nobody may be held idle; a node that is alone serves as long as that allows."""
+    front, listener, fars = listening(rig, 3)
+    assert front._accept_all()
+    ready(rig, *fars)
+    front.accepting = rig.scheduler.spawn(front._accept)
+    fars[0].send(request("held"))
+    rig.settle()
+    front.lame_duck()
+    rig.settle(1_000.0)
+    front.lame_duck()  # the second begins nothing anew
+    fars[1].send(request("kept"))
+    rig.settle()
+    rig.dispatch._answer(rig.dispatch.queries["kept"], Served(b"x"))
+    rig.settle()
+    assert b"close" not in (read(fars[1]) or b"close")
+    rig.settle(600.0)
+    assert read(fars[1]) is None and read(fars[2]) is None and read(fars[0]) == b""
+    ours, late = socket.socketpair()  # sent here all the same: served, and closed
+    late.setblocking(False)
+    listener.queue.append(ours)
+    listener.far.send(b"x")
+    late.send(request("late"))
+    rig.settle()
+    for name, far in (("held", fars[0]), ("late", late)):
+        rig.dispatch._answer(rig.dispatch.queries[name], Served(b"x"))
+        rig.settle()
+        assert b"Connection: close\r\n" in (read(far) or b"") and read(far) is None
+        far.close()
+    rig.settle(60_000.0)
+    assert not front.stopped and not front.links and front.rejoin() and front.duty.is_ready
+    assert rig.dispatch.end_by_ms == math.inf
+
+
+def test_rejoin_before_the_connections_close_keeps_them(rig: Rig) -> None:
+    front, _, fars = listening(rig, 1)
+    assert front._accept_all()
+    ready(rig, *fars)
+    front.lame_duck()
+    rig.settle(1_500.0)
+    assert front.rejoin() and front.rejoin()
+    rig.settle(10_000.0)
+    fars[0].send(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    rig.settle()
+    assert (read(fars[0]) or b"").startswith(b"HTTP/1.1 200") and not front.stopped
+
+
 def test_a_second_front_needs_only_the_dispatch(rig: Rig) -> None:
     """Whatever protocol it speaks, a front hands in a query and hears one answer; no HTTP is involved."""
     def refuse(event: Event) -> list[Action]:
--- a/tests/test_host_group.py
+++ b/tests/test_host_group.py
@@ -9,9 +9,9 @@
 from hypothesis import HealthCheck, given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
-from net_helper import HEAD, NAMES, Rig, chunk, read
+from net_helper import END, HEAD, NAMES, Rig, chunk, line, read
 
-from pipitledge.interface import Listing, State, Worker, WorkersChanged
+from pipitledge.interface import Listing, Send, State, Worker, WorkersChanged
 from pipitledge.node.host_group import SILENT_MS, BadRow, read_row
 
 ROW = {"uid": "s-1", "endpoint": "127.1.0.1:8443", "az": "aarhus-1", "model": "slow-5", "pod_group": 3,
@@ -83,6 +83,74 @@
         assert not rig.crashes
 
 
+STEPS = st.lists(st.tuples(st.sampled_from(["out", "back", "full", "delta"]), st.integers(0, 3),
+                           st.sampled_from(STATES), st.booleans()), max_size=25)
+
+
+@DERANDOMISED
+@given(steps=STEPS)
+def test_workers_taken_out_stay_out_whatever_the_list_says(steps: list[tuple[str, int, str, bool]]) -> None:
+    """What the module has been told last of each worker, against a model of list and calls."""
+    with pytest.MonkeyPatch.context() as patch:
+        rig = Rig(patch)
+        listed: dict[str, tuple[str, float]] = {}
+        out: dict[str, float] = {}
+        cold: dict[str, float] = {}
+        module: dict[str, Worker] = {}
+        for what, number, state, restarted in steps:
+            rig.time += 500.0
+            uid = f"s-{number}"
+            if what == "out":
+                assert rig.group.detach(uid) == (uid in listed or uid in out)
+                if uid in listed:
+                    out.setdefault(uid, rig.time)
+            elif what == "back":
+                assert rig.group.attach(uid) == (uid in listed or uid in out)
+                if uid in out and (uid not in listed or listed[uid][1] < out[uid]):
+                    cold[uid] = rig.time
+                out.pop(uid, None)
+            else:
+                row = ROW | {"uid": uid, "state": state, "boot_ms": rig.time if restarted else 0}
+                whole = what == "full"
+                rig.group._take({"rev": 1, "targets": [row]}, Listing.FULL if whole else Listing.DELTA)
+                listed = ({} if whole else listed) | {uid: (state, rig.time if restarted else 0.0)}
+                if state == "terminated":
+                    del listed[uid]
+            rig.settle()
+            changes, rig.script.seen = rig.script.of(WorkersChanged), []
+            for change in changes:
+                module = {} if change.listing is Listing.FULL else module
+                for worker in change.workers:
+                    module[worker.id] = worker
+            module = {name: worker for name, worker in module.items() if worker.state is not State.GONE}
+            assert module.keys() == listed.keys()
+            for name, (told, boot) in listed.items():
+                serving = told == "in_service" and name not in out
+                assert (module[name].state is State.SERVING) == serving
+                if serving:  # as cold as it can be after a restart that discovery may not have told yet
+                    assert module[name].started_ms >= max(boot, cold.get(name, 0.0))
+        rig.close()
+
+
+def test_a_worker_out_loses_its_idle_links_and_a_second_call_is_no_news(rig: Rig) -> None:
+    rig.group.start({"rev": 1, "all": True, "targets": [ROW]})
+    rig.query("a")
+    rig.script.on_event = lambda event: ()
+    rig.dispatch._send(Send("a", "s-1"))
+    rig.settle()
+    rig.dialled[0].send(HEAD + line("done", result="x") + END)
+    rig.settle()
+    assert rig.pool.idle["s-1"]
+    assert rig.group.detach("s-1") and rig.group.detach("s-1")
+    rig.settle()
+    assert not rig.pool.links and not rig.pool.idle.get("s-1")
+    assert [change.workers[0].state for change in rig.script.of(WorkersChanged)] == [State.SERVING, State.DRAINING]
+    assert rig.group.attach("s-1") and rig.group.attach("s-1") and not rig.group.detach("s-9")
+    rig.settle()
+    [*_, back] = rig.script.of(WorkersChanged)
+    assert back.workers[0].state is State.SERVING and back.workers[0].started_ms == rig.time
+
+
 @pytest.mark.parametrize("reply, ending", [
     (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "watch-refused"),
     (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "watch-ended"),
