Hand listener, idle connections and the list over to a second process at an upgrade

Change: the heir claims the elder's place over a Unix socket in $TMPDIR (handover.py: messages; succession.py: driver; household.py: what is told and shared). The elder stops to take clients in, tells list, workers out, open ids and duty, passes the listener, and every connection with nothing under way. Budgets halve while both run. Not yet: what the module has learned, cold budgets.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -11,39 +11,21 @@
 from pipitledge.net.scheduler import Scheduler
 from pipitledge.net.timers import Clock, Timers
 from pipitledge.node import config
-from pipitledge.node.console import PLACES, Console
+from pipitledge.node.budget import bodies, budget
+from pipitledge.node.console import Console
 from pipitledge.node.counters import Counters, Log, writer
 from pipitledge.node.dispatch import Dispatch
-from pipitledge.node.front import SPARE, Front
+from pipitledge.node.front import Front, listen_at
+from pipitledge.node.handover import Busy
 from pipitledge.node.host_group import HostGroup
+from pipitledge.node.household import Household
 from pipitledge.node.operations import Operations
 from pipitledge.node.plan_file import PlanFile
 from pipitledge.node.server_link import Pool
 from pipitledge.node.signals import Signals
+from pipitledge.node.succession import Succession, claim
 from pipitledge.policy import Policy
 
-# Descriptors: standard streams, signals, listeners, watch and its successor, and some that libraries open; callers
-# at the second address.
-BASE = 24 + PLACES
-# Of the rest, for server links: clients need a third of all for requests, and the widest list of workers
-# takes a connection for each of its slots.
-LINK_SHARE = 0.4
-
-
-OURS_MB, BODIES_SHARE = 24, 0.5  # the program with all its connections; of the rest, for clients' bodies
-
-
-def budget(sockets: int) -> tuple[int, int]:
-    """Share out the descriptors: those for clients and those for server links."""
-    spare = max(16, sockets - BASE - SPARE)
-    links = max(4, int(spare * LINK_SHARE))
-    return spare - links, links
-
-
-def bodies(memory_mb: int) -> int:
-    """Bytes of clients' bodies that may be held at one time."""
-    return max(2 << 20, int((memory_mb - OURS_MB) * BODIES_SHARE) << 20)
-
 
 def main() -> int:
     """Run one node."""
@@ -97,6 +79,15 @@
     plans = PlanFile(told, scheduler, clock, counters, log)
     if not plans.start():
         return 2
+    # From here on nothing may fail: whoever ran here so far stops to take clients in.
+    succession = Succession(scheduler, clock, counters, log, told.folder, told.listen)
+    try:
+        console = Console(scheduler, clock, counters, log, told.console) if told.console is not None else None
+        claimed = claim(told.folder, told.listen, log) if told.folder else None
+        listener = claimed.listener if claimed is not None else listen_at(told.listen)
+    except (Busy, OSError) as fault:
+        log("config", error=fault)
+        return 2
     policy = Policy(told.settings, told.seed)
     dispatch = Dispatch(clock, timers, policy, counters, log)
     clients, links = budget(told.sockets)
@@ -104,12 +95,18 @@
     group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names)
     dispatch.links, dispatch.watch = pool, group.watch
     scheduler.after_round = dispatch.round
-    group.start(told.known)
-    front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, told.listen, clients,
+    front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, listener, clients,
                   bodies(told.memory_mb))
     front.plan_of = plans.plan
-    if told.console is not None:
-        Console(scheduler, clock, counters, log, told.console, Operations(dispatch, group, front).answer)
+    operations = Operations(dispatch, group, front, succession.ask_others)
+    if console is not None:
+        console.answerer = operations.answer
+    household = Household(succession, front, group, pool, dispatch, operations, told)
+    if claimed is not None:
+        household.inherit(claimed)
+    else:
+        group.start(told.known)
+    succession.offer()
     if told.printers:
         from pipitledge.ipp.node import PrintSide
         try:
@@ -125,10 +122,11 @@
         scheduler.after_round = both
 
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
-        clients=front.most, links=links)
+        clients=front.most, links=pool.most, claimed=claimed is not None)
     gc.collect()
     gc.freeze()  # what is there by now stays: later collections need not look at it
     scheduler.run()
+    succession.flush()
     del signals
     log("stopped", open=dispatch.open, counters=counters.text())
     return 0
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -45,6 +45,7 @@
     dial_timeout_ms: float
     idle_ms: float  # a worker's machine closes an idle connection after this
     console: Address | None = None  # the second address, for operators' calls
+    folder: str = ""  # where processes of this node find each other; empty: an upgrade is no matter here
     attempts: str = ""  # path of the file of attempt plans; empty: there is none
     printers: str = ""  # path of the file of printers; empty: the node does not print
     ipp_listen: str = ""
@@ -114,6 +115,7 @@
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
         console=address(str(console)) if console else None,
+        folder=environ.get("TMPDIR", ""),
         attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
         printers=str(raw.get("printers") or ""), ipp_listen=str(raw.get("ipp_listen") or ""),
         ipp_store=str(raw.get("ipp_store") or ""))
--- a/pipitledge/node/console.py
+++ b/pipitledge/node/console.py
@@ -99,11 +99,16 @@
 Answerer = Callable[[Call], str | None]  # None is yes: it is done; else why not. It may wait, in the caller's task
 
 
+def not_yet(call: Call) -> str | None:
+    """Answer for a node that does not serve yet."""
+    return "not ready yet"
+
+
 class Console:
     """Listens at the second address; each caller has a task that runs before those of clients."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, counters: Counters, log: Log, listen: Address,
-                 answerer: Answerer) -> None:
+                 answerer: Answerer = not_yet) -> None:
         """Open the listening socket."""
         self.scheduler, self.clock, self.counters, self.log = scheduler, clock, counters, log
         self.answerer = answerer
--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -99,6 +99,8 @@
         self.open = 0
         self.end_by_ms = math.inf  # of a node that stops: queries taken from then on end by this time
         self.idle: Callable[[], None] = lambda: None  # told when a query was answered and none is left
+        self.elsewhere: set[str] = set()  # ids that are still open in the process whose place we took
+        self.over: Callable[[list[str]], None] = lambda ids: None  # told of ids that are no longer open here
         self._over: list[Query] = []
         self._carry: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Cancel: self._cancel, api.Refuse: self._refuse, api.Fail: self._fail,
@@ -110,7 +112,7 @@
 
     def take(self, arrival: api.JobArrived, passage: Any, reply: Callable[[Answer], None]) -> Query | None:
         """Take a query; None if one of this id is still here, as the module would ignore the second."""
-        if arrival.job in self.queries:
+        if arrival.job in self.queries or arrival.job in self.elsewhere:
             return None
         query = Query(arrival, passage, reply)
         early = min(EARLY_MS, EARLY_SHARE * arrival.lasts_ms)
@@ -194,10 +196,12 @@
                     self.counters.add("fault.action")
                     self.log("fault", action=action, trace=traceback.format_exc())
         # Only now: within the round the module may still have named a query that had just ended.
-        for query in self._over:
-            if not query.out:
-                self.queries.pop(query.arrival.job, None)
+        over = [query.arrival.job for query in self._over if not query.out]
+        for name in over:
+            self.queries.pop(name, None)
         self._over.clear()
+        if over:
+            self.over(over)
 
     def _module_fault(self, events: list[api.Event]) -> None:
         """Lose no query with the module's exception: those it may not have seen are failed now."""
--- a/pipitledge/node/duty.py
+++ b/pipitledge/node/duty.py
@@ -36,6 +36,8 @@
         self.stage = Stage.SERVING
         self.due_ms = math.inf  # when the next stage comes by itself
         self.end_by_ms = math.inf  # what is taken from now on has its answer by then
+        self.lame_since_ms: float | None = None
+        self.is_handed_over = False  # another process takes clients in our place; calls and time go on to count
         self._was_lame = False  # before it was told to stop: its time to shed goes on
 
     @property
@@ -57,7 +59,7 @@
         """Send clients away; True if that is news. A node that stops does so already."""
         if self.stage is not Stage.SERVING:
             return False
-        self.stage, self.due_ms = Stage.DRAINING, now_ms + SHED_MS
+        self.stage, self.due_ms, self.lame_since_ms = Stage.DRAINING, now_ms + SHED_MS, now_ms
         return True
 
     def rejoin(self) -> bool:
@@ -65,6 +67,7 @@
         if self.stage in STOPS:
             return False
         self.stage, self.due_ms, self.end_by_ms = Stage.SERVING, math.inf, math.inf
+        self.lame_since_ms = None
         return True
 
     def stop(self, now_ms: float, longest_ms: float) -> bool:
@@ -73,10 +76,21 @@
             return False
         self._was_lame = self.stage in LAME
         killed = min(longest_ms, KILL_LONGEST_MS) + KILL_AFTER_MS
-        self.stage, self.due_ms = Stage.STOPPING, now_ms + max(STOP_MS, killed - LAST_MS)
+        serves_ms = 0.0 if self.is_handed_over else max(STOP_MS, killed - LAST_MS)
+        self.stage, self.due_ms = Stage.STOPPING, now_ms + serves_ms
         self.end_by_ms = now_ms + killed - SPARE_MS
         return True
 
+    def hand_over(self, now_ms: float) -> None:
+        """Another process takes clients in from now on; a node that stops has nothing more to wait for."""
+        self.is_handed_over = True
+        if self.stage is Stage.STOPPING:
+            self.due_ms = now_ms
+
+    def take_back(self) -> None:
+        """That process is gone: clients are ours again, unless the end has come."""
+        self.is_handed_over = False
+
     def tick(self, now_ms: float) -> bool:
         """Let time pass; True if another stage holds now."""
         if now_ms < self.due_ms:
--- a/pipitledge/node/endings.py
+++ b/pipitledge/node/endings.py
@@ -38,6 +38,7 @@
     BAD_REQUEST = "bad-request"
     SHED = "shed"
     STOPPING = "stopping"
+    PASSED_ON = "passed-on"  # to the process that takes our place, with nothing under way
     # the watch on discovery
     WATCH_REFUSED = "watch-refused"
     WATCH_ENDED = "watch-ended"
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -11,7 +11,7 @@
 import re
 import socket
 import traceback
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pipitledge.http1.client_side import ClientSide, Request, Stage
 from pipitledge.http1.heads import BadMessage
@@ -101,8 +101,8 @@
 class ClientLink:
     """One client's connection; its task reads a request, hands in the query and writes the answer."""
 
-    def __init__(self, front: Front, sock: socket.socket, over_budget: bool) -> None:
-        """Take over an accepted socket."""
+    def __init__(self, front: Front, sock: socket.socket, over_budget: bool, used: bool = False) -> None:
+        """Take over an accepted socket, or one that has served already."""
         self.front, self.over_budget = front, over_budget
         self.stream = Stream(front.scheduler, sock, ReceiveBuffer(most=BUFFER))
         self.side = ClientSide()
@@ -110,8 +110,9 @@
         self.answer: Answer | None = None
         self.held = 0  # bytes of a body, until its query is answered
         self.leave: Ending | None = None  # set by the front: close if nothing has come
-        self.accepted_ms, self.used = front.clock.now(), False  # used: a whole request has come
-        front.fresh[self] = None
+        self.accepted_ms, self.used = front.clock.now(), used  # used: a whole request has come
+        if not used:
+            front.fresh[self] = None
         self.task = front.scheduler.spawn(self.run)
 
     def run(self) -> None:
@@ -131,6 +132,8 @@
                 self.front.dispatch.client_gone(self.query)
             self._hold(0)
             self.front.fresh.pop(self, None)
+            if ending is Ending.PASSED_ON and self.front.heir is not None:
+                self.front.heir(self.stream.sock, self.used)
             if ending is Ending.BAD_REQUEST:  # an idle link that was shed must give its descriptor back now
                 self.front.lingering[self] = None
                 self.stream.linger(self.front.clock.now() + LINGER_MS)
@@ -167,7 +170,8 @@
             raise BadMessage(503, "no memory for the body")
 
     def _closes(self) -> bool:
-        return self.front.duty.sheds or self.over_budget
+        """Whether the answer ends the connection. With an heir it is passed on, which costs the client nothing."""
+        return (self.front.duty.sheds and self.front.heir is None) or self.over_budget
 
     def _write(self, parts: Sequence[Part]) -> bool:
         return self.stream.write(parts, self.front.clock.now() + WRITE_MS)
@@ -191,6 +195,8 @@
             if self.leave is Ending.SHED and not self.used and not idle:
                 return None, Ending.SHED
             if self.side.stage is Stage.IDLE:
+                if front.heir is not None and not self.over_budget and not len(stream.buffer):
+                    return None, Ending.PASSED_ON  # what has come and is not read goes along
                 if self.leave is not None:
                     if stream.is_quiet():
                         return None, self.leave
@@ -252,14 +258,29 @@
         self.task.wake()
 
 
+def listen_at(address: Address) -> socket.socket:
+    """Open the clients' listening socket.
+
+    A second process of this node gets this one passed. SO_REUSEPORT is for one whose elder does not answer: it
+    can serve all the same, though what waits at the elder's listener is lost when that closes.
+    """
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    listener.bind(address)
+    listener.listen(1024)
+    listener.setblocking(False)
+    return listener
+
+
 class Front:
     """Listens, keeps the clients' connections within the budget, and stops in order."""
 
     plan_of: PlanOf = staticmethod(unlimited)
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
-                 names: Names, settings: Settings, listen: Address, most: int, most_held: int) -> None:
-        """Open the listening socket; at most `most` clients are served, a few more are turned away."""
+                 names: Names, settings: Settings, listener: socket.socket, most: int, most_held: int) -> None:
+        """Accept at this listener; at most `most` clients are served, a few more are turned away."""
         self.scheduler, self.clock, self.dispatch = scheduler, clock, dispatch
         self.counters, self.log, self.names, self.settings = counters, log, names, settings
         self.most, self.most_held, self.held = most, most_held, 0
@@ -270,16 +291,16 @@
         self.duty = Duty()
         self._due: Timer | None = None  # of the next stage of duty
         self.stopped: bool = False
-        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(listen)
-        self.listener.listen(1024)
-        self.listener.setblocking(False)
+        self.heir: Callable[[socket.socket, bool], None] | None = None  # takes connections with nothing under way
+        self.listener = listener
         self.accepting = scheduler.spawn(self._accept)
 
     def _accept(self) -> None:
         until = math.inf
         while not self.duty.is_closing:
+            if self.duty.is_handed_over:
+                self.scheduler.wait()
+                continue
             fd = self.listener.fileno() if until == math.inf else -1
             self.scheduler.wait(until, fd)
             try:
@@ -288,7 +309,8 @@
                 self.fault()
                 room = False
             until = math.inf if room else self.clock.now() + ACCEPT_AGAIN_MS
-        self._accept_all(1 << 10)  # what the system has accepted for us is ours to answer
+        if not self.duty.is_handed_over:
+            self._accept_all(1 << 10)  # what the system has accepted for us is ours to answer
         self.scheduler.forget(self.listener.fileno())
         self.listener.close()
         for link in [*self.idle, *self.fresh, *self.lingering]:
@@ -312,13 +334,16 @@
                     return False
                 continue  # the client was gone before we took it
             self.counters.add("client.accepted")
-            over = len(self.links) >= self.most and not self._shed()  # only now: somebody did come
-            link = ClientLink(self, sock, over)
-            if self.duty.sheds:
-                link.leave = Ending.STOPPING
-            self.links.add(link)
+            self._link(sock, False)
         return True
 
+    def _link(self, sock: socket.socket, used: bool) -> None:
+        over = len(self.links) >= self.most and not self._shed()  # only now: somebody did come
+        link = ClientLink(self, sock, over, used)
+        if self.duty.sheds:
+            link.leave = Ending.STOPPING
+        self.links.add(link)
+
     def _shed(self) -> bool:
         """Close the connection that is worth least: told off, silent since it came, or idle longest.
 
@@ -363,12 +388,38 @@
 
     @property
     def takes(self) -> bool:
-        """Whether clients are taken in, wherever they were sent."""
+        """Whether clients are taken in, here or by the process that took our place, wherever they were sent."""
         return not self.duty.is_closing
 
-    def lame_duck(self) -> None:
+    def adopt(self, sock: socket.socket, used: bool) -> None:
+        """Take a connection over from another process of this node: one with nothing under way."""
+        if self.takes and (len(self.links) < self.most + SPARE or self._shed()):
+            self.counters.add("client.adopted")
+            self._link(sock, used)
+        else:
+            sock.close()
+
+    def hand_over(self, heir: Callable[[socket.socket, bool], None]) -> None:
+        """Take nobody in from now on; connections go to the heir as soon as nothing is under way on them."""
+        self.heir = heir
+        self.duty.hand_over(self.clock.now())
+        self._follow()
+        while len(self.links) > self.most and self._shed():
+            pass
+        for link in [*self.idle, *self.fresh]:
+            link.task.wake()
+        self.accepting.wake()
+
+    def take_back(self) -> None:
+        """The heir is gone: take clients in again."""
+        self.heir = None
+        self.duty.take_back()
+        self._follow()
+        self.accepting.wake()
+
+    def lame_duck(self, since_ms: float | None = None) -> None:
         """Send clients away, and go on running."""
-        if self.duty.lame_duck(self.clock.now()):
+        if self.duty.lame_duck(self.clock.now() if since_ms is None else since_ms):
             self._follow()
 
     def rejoin(self) -> bool:
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -59,6 +59,7 @@
         self.version: int | None = None
         self.addresses: dict[str, Address] = {}
         self.told: dict[str, Worker] = {}  # the list as discovery told it, without what operators laid over it
+        self.raw: dict[str, Any] = {}  # the same in its form: for a process that takes our place
         self.out: dict[str, float] = {}  # workers that operators took out, and when
         self.cold_from: dict[str, float] = {}  # workers back in use: the latest that they can have been restarted
         self._watches = 0  # begun so far; the newest is the one that counts
@@ -93,9 +94,12 @@
 
     # ---- what operators lay over the list
 
-    def detach(self, worker: str) -> bool:
-        """Take a worker out: whatever the list says, for the module it drains. False if nobody has this id."""
-        if worker not in self.told and worker not in self.out:
+    def detach(self, worker: str, sure: bool = False) -> bool:
+        """Take a worker out: whatever the list says, for the module it drains. False if nobody has this id.
+
+        Another process of this node may be sure of one that this one has not been told of yet.
+        """
+        if worker not in self.told and worker not in self.out and not sure:
             return False
         if worker not in self.out:
             self.out[worker] = self.clock.now()
@@ -137,7 +141,7 @@
         whole = listing is not Listing.DELTA
         addresses = {} if whole else dict(self.addresses)
         if whole:
-            self.told = {}
+            self.told, self.raw = {}, {}
         told = said.get("targets")
         for raw in told if isinstance(told, list) else []:
             try:
@@ -150,9 +154,10 @@
             if worker.state is State.GONE:
                 addresses.pop(worker.id, None)
                 self.told.pop(worker.id, None)
+                self.raw.pop(worker.id, None)
             else:
                 addresses[worker.id] = where
-                self.told[worker.id] = worker
+                self.told[worker.id], self.raw[worker.id] = worker, raw
         if isinstance(said.get("rev"), int):
             self.version = said["rev"]
         self.addresses = addresses
--- /dev/null
+++ b/pipitledge/node/household.py
@@ -0,0 +1,68 @@
+"""Two processes that are one node: what is told at an upgrade, and what each may use while both run."""
+
+from __future__ import annotations
+
+from pipitledge.node.budget import bodies, budget
+from pipitledge.node.config import Config
+from pipitledge.node.console import Call
+from pipitledge.node.dispatch import Dispatch
+from pipitledge.node.front import Front
+from pipitledge.node.handover import Estate
+from pipitledge.node.host_group import HostGroup
+from pipitledge.node.operations import Operations
+from pipitledge.node.server_link import Pool
+from pipitledge.node.succession import Claim, Partner, Succession
+
+
+class Household:
+    """Ties the succession to the parts of the node that it concerns."""
+
+    def __init__(self, succession: Succession, front: Front, group: HostGroup, pool: Pool, dispatch: Dispatch,
+                 operations: Operations, told: Config) -> None:
+        """Be told of each step of an upgrade from now on."""
+        self.succession, self.front, self.group, self.pool, self.dispatch = succession, front, group, pool, dispatch
+        self.operations, self.told = operations, told
+        succession.hand_over, succession.take_back = self._hand_over, self._take_back
+        succession.alone, succession.over = self._alone, dispatch.elsewhere.difference_update
+        succession.adopt, succession.do = front.adopt, self._do
+
+    def inherit(self, claimed: Claim) -> None:
+        """Go on from what the elder told."""
+        estate, group = claimed.estate, self.group
+        group.out.update(estate.out)
+        group.cold_from.update(estate.cold_from)
+        group.start({"rev": estate.rev, "all": True, "targets": estate.rows})
+        group.watch()  # at once: the module would ask within seconds, and news is owed sooner
+        self.dispatch.elsewhere.update(estate.open)
+        if estate.lame_since is not None:
+            self.front.lame_duck(estate.lame_since)
+        self.succession.follow(claimed.sock)
+        self.share_out()
+
+    def share_out(self) -> None:
+        """Use all of the limits alone, and half of them while another process of this node runs."""
+        parts = 2 if self.succession.is_shared else 1
+        self.front.most, links = budget(self.told.sockets // parts)
+        self.front.most_held = bodies(self.told.memory_mb // parts)
+        self.pool.limit(links)
+
+    def _hand_over(self) -> tuple[Estate, int]:
+        self.share_out()
+        self.front.hand_over(self.succession.pass_on)
+        self.dispatch.over = self.succession.tell_over
+        group, duty = self.group, self.front.duty
+        return Estate(group.version, list(group.raw.values()), group.out, group.cold_from, duty.lame_since_ms,
+                      list(self.dispatch.queries)), self.front.listener.fileno()
+
+    def _take_back(self) -> None:
+        self.dispatch.over = lambda ids: None
+        self.front.take_back()
+        self.share_out()
+
+    def _alone(self) -> None:
+        self.dispatch.elsewhere.clear()  # what the elder had is answered, or lost with it
+        self.share_out()
+
+    def _do(self, call: Call, source: Partner) -> str | None:
+        self.operations.relayed(call)
+        return self.succession.ask_others(call, source)
--- a/pipitledge/node/operations.py
+++ b/pipitledge/node/operations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from pipitledge.node.console import Call, Verb
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.front import Front
@@ -11,22 +13,31 @@
 
 
 class Operations:
-    """Carries out calls, whoever reads them."""
+    """Carries out calls, whoever reads them. Other processes of this node do the same before yes is said."""
 
-    def __init__(self, dispatch: Dispatch, group: HostGroup, front: Front) -> None:
+    def __init__(self, dispatch: Dispatch, group: HostGroup, front: Front,
+                 others: Callable[[Call], str | None]) -> None:
         """Know the parts that calls are for."""
-        self.dispatch, self.group, self.front = dispatch, group, front
+        self.dispatch, self.group, self.front, self.others = dispatch, group, front, others
 
     def answer(self, call: Call) -> str | None:
-        """Do what is asked; None if it is done, else why it is not."""
+        """Do what is asked, here and in the other processes; None if it is done, else why it is not."""
         if call.verb is Verb.PING:
             return None if self.front.takes else STOPS
+        no = self._do(call, False)
+        return no if no is not None else self.others(call)
+
+    def relayed(self, call: Call) -> None:
+        """Do what another process of this node was asked and knows to be right."""
+        self._do(call, True)
+
+    def _do(self, call: Call, sure: bool) -> str | None:
         if call.verb is Verb.LAMEDUCK:
             self.front.lame_duck()
             return None
         if call.verb is Verb.REJOIN:
             return None if self.front.rejoin() else STOPS
-        move = self.group.detach if call.verb is Verb.DETACH else self.group.attach
-        known = move(call.worker)
+        group = self.group
+        known = group.attach(call.worker) if call.verb is Verb.ATTACH else group.detach(call.worker, sure)
         self.dispatch.round()  # the module has it, and has acted on it, before anybody is told
         return None if known else NOBODY
--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -258,6 +258,13 @@
             return
         self.links.add(ServerLink(self, worker, address, execution))
 
+    def limit(self, most: int) -> None:
+        """Hold to another budget from now on; idle links beyond it are closed."""
+        self.most = most
+        for _ in range(len(self.links) - most):
+            if not self._shed():
+                break
+
     def _shed(self) -> bool:
         """Let go of one idle link, to have its descriptor for a new one."""
         for idle in self.idle.values():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from pipitledge.__main__ import BASE, bodies, budget
 from pipitledge.node import config
+from pipitledge.node.budget import BASE, bodies, budget
 from pipitledge.node.front import AT_ONCE, SPARE
 
 ROOT = pathlib.Path(__file__).parent.parent
