--- /dev/null
+++ b/tests/node_helper.py
@@ -0,0 +1,100 @@
+"""The program as a process of its own, on ports that nobody has just now."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+ROOT = pathlib.Path(__file__).parent.parent
+STATED = {
+    "lanes": [{"name": "menu-plan", "deadline_ms": 300.0, "objective_ms": 100.0, "repeat": "free"}],
+    "realms": [{"name": "hverdag", "share": 1.0}], "shapes": ["fast-4"], "zones": ["aarhus-1"],
+    "discovery": "ask", "resolution_ms": 4.0,
+    "permissions": {"max_attempts": 6, "retry_after": True, "max_retry_after_ms": 2000.0,
+                    "dial_timeout_ms": 100.0, "conn_idle_ms": 15000.0},
+    "rules": {"ask_every_ms": 10000.0},
+}
+
+
+def told(**changes: object) -> dict[str, object]:
+    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 1, "all": True, "targets": []}, "settings": STATED} | changes
+
+
+def free_port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        return int(free.getsockname()[1])
+
+
+class Node:
+    """One process. A node beside another of the same `beside` takes its place."""
+
+    def __init__(self, folder: pathlib.Path, beside: Node | None = None, **changes: Any) -> None:
+        self.port = beside.port if beside is not None else free_port()
+        # $TMPDIR is private to a node and outlives a process; the system's, as a test's folder may be too long.
+        self.tmp = beside.tmp if beside is not None else tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+        self.console_port = free_port()
+        self.path = folder / f"config-{self.console_port}.json"
+        self.write(**changes)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "pipitledge"], cwd=ROOT, text=True, stdout=subprocess.PIPE,
+            env={"BALANCER_CONFIG": str(self.path), "TMPDIR": self.tmp.name,
+                 "BALANCER_CONSOLE": f"127.0.0.1:{self.console_port}"})
+        self.first = self.until(" ready ", " config error=")
+
+    def write(self, **changes: object) -> None:
+        self.path.write_text(json.dumps(told(listen=f"127.0.0.1:{self.port}", **changes)))
+
+    def signal(self, number: signal.Signals) -> None:
+        self.process.send_signal(number)
+
+    def until(self, *words: str) -> str:
+        """The next line of the log that holds one of the words."""
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            if any(word in line for word in words):
+                return line
+        raise AssertionError(f"the node ended before it said {words}")
+
+    def rest(self) -> str:
+        assert self.process.stdout is not None
+        return self.process.stdout.read()
+
+    def client(self) -> socket.socket:
+        return socket.create_connection(("127.0.0.1", self.port), 10.0)
+
+    def call(self, line: str) -> str:
+        """An operator's call and its answer."""
+        with socket.create_connection(("127.0.0.1", self.console_port), 10.0) as sock:
+            sock.sendall(line.encode() + b"\n")
+            with sock.makefile("rb") as answer:
+                return answer.read().decode().strip()
+
+    def __enter__(self) -> Node:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.wait()
+        assert self.process.stdout is not None
+        self.process.stdout.close()
+
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def job(name: str) -> bytes:
+    return b"POST /menu-plan HTTP/1.1\r\nHost: x\r\nRequest-Id: %s\r\n\r\n" % name.encode()
+
+
+def exchange(sock: socket.socket, said: bytes) -> bytes:
+    sock.sendall(said)
+    return sock.recv(4_096)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -6,31 +6,14 @@
 import pathlib
 import signal
 import socket
-import subprocess
-import sys
 
 import pytest
+from node_helper import Node, told
 
 from pipitledge.node import config
 from pipitledge.node.budget import BASE, bodies, budget
 from pipitledge.node.front import AT_ONCE, SPARE
 
-ROOT = pathlib.Path(__file__).parent.parent
-STATED = {
-    "lanes": [{"name": "menu-plan", "deadline_ms": 300.0, "objective_ms": 100.0, "repeat": "free"}],
-    "realms": [{"name": "hverdag", "share": 1.0}], "shapes": ["fast-4"], "zones": ["aarhus-1"],
-    "discovery": "ask", "resolution_ms": 4.0,
-    "permissions": {"max_attempts": 6, "retry_after": True, "max_retry_after_ms": 2000.0,
-                    "dial_timeout_ms": 100.0, "conn_idle_ms": 15000.0},
-    "rules": {"ask_every_ms": 10000.0},
-}
-
-
-def told(**changes: object) -> dict[str, object]:
-    return {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"rev": 1, "all": True, "targets": []}, "settings": STATED} | changes
-
 
 def test_the_configuration_is_read(tmp_path: pathlib.Path) -> None:
     path = tmp_path / "config.json"
@@ -64,49 +47,6 @@
     assert 2 << 20 <= bodies(32) <= 12 << 20 and 64 << 20 < bodies(192) < 172 << 20
 
 
-class Node:
-    """The program as a process of its own, on a port that nobody has just now."""
-
-    def __init__(self, folder: pathlib.Path, **changes: object) -> None:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.port = free.getsockname()[1]
-        self.path = folder / "config.json"
-        self.write(**changes)
-        self.process = subprocess.Popen([sys.executable, "-m", "pipitledge"], cwd=ROOT, text=True,
-                                        stdout=subprocess.PIPE, env={"BALANCER_CONFIG": str(self.path)})
-        self.until(" ready ")
-
-    def write(self, **changes: object) -> None:
-        self.path.write_text(json.dumps(told(listen=f"127.0.0.1:{self.port}", **changes)))
-
-    def signal(self, number: signal.Signals) -> None:
-        self.process.send_signal(number)
-
-    def until(self, word: str) -> str:
-        """The next line of the log that holds the word."""
-        assert self.process.stdout is not None
-        while word not in (line := self.process.stdout.readline()):
-            assert line, f"the node ended before it said {word}"
-        return line
-
-    def rest(self) -> str:
-        assert self.process.stdout is not None
-        return self.process.stdout.read()
-
-    def client(self) -> socket.socket:
-        return socket.create_connection(("127.0.0.1", self.port))
-
-    def __enter__(self) -> Node:
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.process.kill()
-        self.process.wait()
-        assert self.process.stdout is not None
-        self.process.stdout.close()
-
-
 def test_a_node_starts_answers_and_ends_on_sigterm(tmp_path: pathlib.Path) -> None:
     with Node(tmp_path) as node, node.client() as client:
         client.sendall(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,216 @@
+"""An upgrade: a second process takes the place of the first, and either may end at any point."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import tempfile
+from collections.abc import Iterator
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from net_helper import END, HEAD, line
+from node_helper import READY, STATED, Node, exchange, job
+
+from pipitledge.node.counters import Counters, Log
+from pipitledge.node.handover import (
+    PART,
+    BadHandover,
+    Busy,
+    ClaimSide,
+    Estate,
+    What,
+    message,
+    read_message,
+)
+from pipitledge.node.succession import claim
+
+DERANDOMISED = hypothesis_settings(derandomize=True, deadline=None, max_examples=60, database=None)
+ROWS = [{"uid": f"s-{number}", "endpoint": "127.0.0.1:1", "az": "aarhus-1", "model": "fast-4", "pod_group": 0,
+         "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0} for number in range(3)]
+# Jobs wait for seconds: no worker is there, as nobody listens where the list says.
+PATIENT = STATED | {"lanes": [{"name": "menu-plan", "deadline_ms": 9000.0, "objective_ms": 8000.0, "repeat": "free"}]}
+
+
+# ---- the messages
+
+
+@DERANDOMISED
+@given(estate=st.builds(Estate, rev=st.none() | st.integers(), rows=st.lists(st.just(ROWS[0])),
+                        out=st.dictionaries(st.text(), st.floats(allow_nan=False)),
+                        open=st.lists(st.text(max_size=64)), lame_since=st.none() | st.floats(0, 1e13)))
+def test_an_estate_arrives_as_it_was_told(estate: Estate) -> None:
+    side = ClaimSide()
+    parts = [*estate.messages(), message(What.YOURS)]
+    assert [side.receive(part) for part in parts[:-1]] == [None] * (len(parts) - 1)
+    assert side.receive(parts[-1]) == estate
+
+
+def test_a_large_estate_travels_in_parts() -> None:
+    estate = Estate(open=[f"{number:036}" for number in range(5_000)])
+    parts = [*estate.messages()]
+    assert len(parts) > 5 and all(len(part) < 2 * PART + 100 for part in parts)
+
+
+@pytest.mark.parametrize("data", [
+    b"", b"[]", b"{}", b'{"what":"nonsense"}', b'{"what":"part"}', b'{"what":"part","text":5}', b'{"what":"done"}',
+    b'{"what":"yours"}', b'{"what":"refused","why":"no"}', b"\xff", b"null"])
+def test_what_is_no_estate_is_told(data: bytes) -> None:
+    with pytest.raises(BadHandover):
+        ClaimSide().receive(data)
+
+
+def test_an_elder_that_has_an_heir_is_told_apart_from_one_that_can_not_talk() -> None:
+    with pytest.raises(Busy):
+        ClaimSide().receive(message(What.REFUSED, busy=True, why="under way"))
+    with pytest.raises(BadHandover):
+        read_message(b'{"what":1e999}')
+
+
+# ---- claims against elders that do no good
+
+
+@pytest.mark.parametrize("elder", ["none", "stale", "file"])
+def test_without_an_elder_there_is_nothing_to_claim(elder: str) -> None:
+    with tempfile.TemporaryDirectory() as folder:
+        path = os.path.join(folder, "pipitledge-127.0.0.1-1.sock")
+        if elder == "stale":
+            with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as gone:
+                gone.bind(path)
+        elif elder == "file":
+            pathlib.Path(path).write_text("rubbish")
+        assert claim(folder, ("127.0.0.1", 1), Log(Counters())) is None
+
+
+# ---- two processes
+
+
+@pytest.fixture
+def elder(tmp_path: pathlib.Path) -> Iterator[Node]:
+    with Node(tmp_path, settings=PATIENT, known={"rev": 3, "all": True, "targets": ROWS}) as node:
+        yield node
+
+
+def heir_of(elder: Node, tmp_path: pathlib.Path, **changes: object) -> Node:
+    return Node(tmp_path, beside=elder, **{"settings": PATIENT, **changes})
+
+
+def test_an_heir_takes_listener_and_idle_connections_and_the_elder_answers_what_it_has(tmp_path: pathlib.Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as worker:
+        row = ROWS[0] | {"endpoint": f"127.0.0.1:{worker.getsockname()[1]}"}
+        with Node(tmp_path, settings=PATIENT, known={"rev": 3, "all": True, "targets": [row]}) as elder, \
+                elder.client() as idle, elder.client() as busy, elder.client() as fresh:
+            assert b" 200 " in exchange(idle, READY)
+            busy.sendall(job("held"))
+            link, _ = worker.accept()
+            with link, heir_of(elder, tmp_path) as heir:
+                assert "workers=1" in heir.first and "claimed=True" in heir.first  # the elder's list, not `known`
+                assert heir.call("PING") == elder.call("PING") == "+OK"
+                assert b" 409 " in exchange(fresh, job("held"))  # still the elder's
+                elder.signal(signal.SIGTERM)
+                elder.until("stage=closing")
+                assert b" 200 " in exchange(idle, READY)  # on the connection that the elder accepted
+                with heir.client() as late:
+                    assert b" 200 " in exchange(late, READY)
+                link.sendall(HEAD + line("done", result="planned") + END)
+                assert busy.recv(4_096).endswith(b"planned")
+                assert elder.process.wait(10) == 0 and '"client.passed-on":' in elder.rest()
+                assert b" 200 " in exchange(busy, READY)  # passed on after its answer
+                heir.until("ended=elder")
+                busy.sendall(job("held"))  # its id is free again
+                heir_link, _ = worker.accept()
+                heir_link.close()
+
+
+def test_calls_at_either_address_hold_in_both_processes_and_over_upgrades(
+        elder: Node, tmp_path: pathlib.Path) -> None:
+    assert elder.call("DETACH s-0") == "+OK" and elder.call("DETACH s-9").startswith("-ERR no worker")
+    with heir_of(elder, tmp_path) as heir:
+        assert heir.call("ATTACH s-0") == "+OK" and heir.call("DETACH s-1") == "+OK"
+        assert elder.call("DETACH s-2") == "+OK" and elder.call("LAMEDUCK") == "+OK"
+        with heir.client() as client:
+            assert b" 503 " in exchange(client, READY)
+        assert heir.call("REJOIN") == "+OK"
+        with heir.client() as client:
+            assert b" 200 " in exchange(client, READY)
+        assert heir.call("LAMEDUCK") == "+OK"
+        elder.signal(signal.SIGTERM)
+        assert elder.process.wait(10) == 0
+        heir.until("ended=elder")
+        with Node(tmp_path, beside=heir, settings=PATIENT) as third:  # an upgrade after an upgrade
+            with third.client() as client:
+                assert b" 503 " in exchange(client, READY)
+            assert third.call("REJOIN") == "+OK"
+            heir.process.kill()
+            third.until("ended=elder")
+            with third.client() as client:
+                assert b" 200 " in exchange(client, READY)
+            assert third.call("ATTACH s-1") == third.call("ATTACH s-2") == "+OK"
+
+
+def test_an_elder_takes_its_clients_back_from_an_heir_that_dies_and_can_be_upgraded_again(
+        elder: Node, tmp_path: pathlib.Path) -> None:
+    with heir_of(elder, tmp_path) as heir, heir.client() as client:
+        assert b" 200 " in exchange(client, READY)
+        with elder.client() as waiting:
+            heir.process.kill()
+            elder.until("ended=heir")
+            assert b" 200 " in exchange(waiting, READY) or not waiting.recv(1)
+        with elder.client() as again:
+            assert b" 200 " in exchange(again, READY)
+    with heir_of(elder, tmp_path) as heir:
+        elder.signal(signal.SIGTERM)
+        assert elder.process.wait(10) == 0
+        with heir.client() as client:
+            assert b" 200 " in exchange(client, READY)
+
+
+def test_a_third_process_is_refused_while_the_second_takes_over(elder: Node, tmp_path: pathlib.Path) -> None:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as slow:  # an heir that has claimed and does not go on
+        slow.connect(os.path.join(elder.tmp.name, f"pipitledge-127.0.0.1-{elder.port}.sock"))
+        slow.send(message(What.CLAIM, form=1, pid=1))
+        elder.until("heir=1")
+        with heir_of(elder, tmp_path) as third:
+            assert "an upgrade is under way" in third.first and third.process.wait(10) == 2
+    elder.until("ended=heir")
+    with elder.client() as client:
+        assert b" 200 " in exchange(client, READY)
+
+
+@pytest.mark.parametrize("said", [b"rubbish", json.dumps({"what": "claim", "form": 99}).encode(), None])
+def test_who_is_no_heir_gets_nothing(elder: Node, said: bytes | None) -> None:
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as nobody:
+        nobody.connect(os.path.join(elder.tmp.name, f"pipitledge-127.0.0.1-{elder.port}.sock"))
+        if said is None:
+            nobody.close()
+        else:
+            nobody.send(said)
+            assert read_message(nobody.recv(4_096))[0] is What.REFUSED
+        elder.until("turned_away=")
+    with elder.client() as client:
+        assert b" 200 " in exchange(client, READY)
+
+
+def test_a_new_process_in_a_stopped_ones_folder_starts_from_nothing(elder: Node, tmp_path: pathlib.Path) -> None:
+    elder.call("DETACH s-0")
+    elder.process.kill()
+    elder.process.wait()
+    with heir_of(elder, tmp_path, known={"rev": 1, "all": True, "targets": ROWS[:1]}) as next_one:
+        assert "claimed=False" in next_one.first and "workers=1" in next_one.first
+        with next_one.client() as client:
+            assert b" 200 " in exchange(client, READY)
+
+
+def test_an_heir_beside_an_elder_that_hangs_serves_all_the_same(elder: Node, tmp_path: pathlib.Path) -> None:
+    elder.signal(signal.SIGSTOP)
+    with heir_of(elder, tmp_path) as heir:
+        assert "claimed=False" in heir.first
+        elder.process.kill()
+        elder.process.wait()
+        with heir.client() as client:
+            assert b" 200 " in exchange(client, READY)
