Put new settings in force at SIGHUP whole, and hand on what the module has learned

Change: settings_file.py checks a file against the one in force and keeps numbers of names; the module takes SettingsChanged and Inherited as plain events; host group, front, pool and budgets follow in the same step. At an upgrade the heir's module goes on from what the elder's learned, and the elder's cold budget ends. A worker that has just started gets one safe job at once, within a quarter of the cold budget of all nodes, as one that is put back must be used within 5 s.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -54,25 +54,39 @@
         else:
             front.stop()
 
+    told: config.Config
+
     def reload() -> None:
-        """Read the configuration again; one that can't be used leaves everything as it is. The plans go apart."""
-        plans.reload()
+        """Read the configuration again, and put it in force whole; one that can't be used leaves all as it is."""
         try:
-            new = config.load(os.environ)
+            new = config.load(os.environ, told)
         except config.ConfigError as fault:
             counters.add("config.kept")
             log("config", kept=told.name, error=fault)
+            plans.reload(told, lambda fits: None)
             return
-        counters.add("config.reloaded")
-        log("config", discovery="{}:{}".format(*new.discovery), moved=new.discovery != group.discovery,
-            needs_restart=",".join(config.changed(told, new)) or "-")
-        group.move(new.discovery)
+
+        def take(fits: bool) -> None:
+            nonlocal told
+            settings = new.settings != told.settings or new.names != told.names
+            if settings and not fits:
+                counters.add("config.kept")
+                log("config", kept=told.name, error="the file of attempt plans does not fit these settings")
+                return
+            old, told = told, new
+            household.adopt(new)
+            counters.add("config.reloaded")
+            log("config", discovery="{}:{}".format(*new.discovery), moved=new.discovery != old.discovery,
+                settings="changed" if settings else "same", classes=",".join(map(bytes.decode, new.names.classes)),
+                needs_restart=",".join(config.changed(started, new)) or "-")
+
+        plans.reload(new, take)
 
     # Before the configuration is read: what is caught from here on waits until the loop runs, and a file
     # replaced meanwhile is read once more.
     signals = Signals(scheduler, (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP), take)
     try:
-        told = config.load(os.environ)
+        started = told = config.load(os.environ)
     except config.ConfigError as fault:
         log("config", error=fault)
         return 2
--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -148,6 +148,19 @@
             if not (tenant.share >= 0 and tenant.quota_per_s >= 0):
                 raise ValueError(f"tenants[{index}]: share and quota must not be negative")
 
+    def shares(self) -> list[float]:
+        """The tenants' shares of one whole."""
+        whole = sum(tenant.share for tenant in self.tenants) or 1.0
+        return [tenant.share / whole for tenant in self.tenants]
+
+    def begin(self, slots: float) -> tuple[list[float], ...]:
+        """Where what is learned or counted by number begins: tokens in flight and running by tenant; running time
+        and that over the hint by class; slots of a worker (where starts are told, waits correct what begins too
+        high) and slowness by kind."""
+        idle, slots = [0.0] * len(self.tenants), slots if self.tells_start else 1.0
+        return (idle, idle, [job_class.objective_ms for job_class in self.classes], [1.0] * len(self.classes),
+                [slots] * self.kinds, [0.0] * self.kinds)
+
     @property
     def has_safe(self) -> bool:
         """Whether any class may be repeated freely."""
@@ -291,7 +304,22 @@
     token: int
 
 
-Event = WorkersChanged | JobArrived | AttemptEnded | AttemptNote | ClientGone | ProbeEnded | TimerFired
+class SettingsChanged(NamedTuple):
+    """Other settings from now on. Classes, tenants, zones and kinds that were there keep their numbers."""
+
+    settings: Settings
+
+
+class Inherited(NamedTuple):
+    """What another process of this scheduler has learned; the list has been told before."""
+
+    by_number: tuple[list[float], list[float], list[float], list[float]]  # run_ms, per_hint, slots, kind_slowness
+    figures: tuple[float, float, float]  # spill, fleet_failures, dead
+    workers: Mapping[str, Mapping[str, float]]
+
+
+Event = (WorkersChanged | JobArrived | AttemptEnded | AttemptNote | ClientGone | ProbeEnded | TimerFired
+         | SettingsChanged | Inherited)
 
 
 # ---------------------------------------------------------------- actions
@@ -381,9 +409,29 @@
     trials_failed: int = 0
     cold_tokens: float = 0.0  # slot-ms we may send while it is cold
     cold_ms: float = -math.inf  # when these were counted
+    tried: bool = False  # a job was sent to it since it started
+
+    LEARNED = ("slowness", "free", "queued", "reported_ms", "full_until", "failures", "cold_tokens", "cold_ms", "tried")
+
+    def inherit(self, learned: Mapping[str, float]) -> None:
+        """Take what another process has learned of this worker since it started."""
+        for name in self.LEARNED:
+            if name in learned:
+                setattr(self, name, learned[name])
+
+    def accrue(self, rate: float, window_ms: float, cost: float, random: Random, now_ms: float) -> float:
+        """Count the cold budget on to now and return it: slot-ms, at `rate` a millisecond."""
+        if self.cold_ms < 0.0:  # slivers that accrue in step would all send at one moment
+            self.cold_tokens, self.cold_ms = -random.random() * cost, self.row.started_ms
+        self.cold_tokens += rate * (now_ms - self.cold_ms)
+        self.cold_ms = now_ms
+        if self.cold_tokens > cost + rate * window_ms:  # unused it lapses: saved up it would be a burst
+            self.cold_tokens = rate * window_ms
+        return self.cold_tokens
 
     def book(self, slots: float, memory: float) -> None:
         """Count an attempt's slots and memory, or take them off again where negative."""
+        self.tried |= slots > 0
         self.slots_out += slots
         self.memory_out += memory
         self.free -= max(0.0, slots)  # a report to come tells of those that ended
@@ -433,6 +481,7 @@
     wait_ms: float  # time it may wait and still be in time
     born_ms: float  # when the client first asked
     useful_ms: float  # from here on starting it earns nothing
+    most: int = 1 << 30  # sends that the settings allowed when it came
     attempts: list[AttemptRecord] = field(default_factory=list)
     out: int = 0  # attempts without an outcome
     freed: float = 0.0  # tokens given back early, as an attempt of it is overdue
@@ -443,7 +492,7 @@
     def may_send(self, most: int, at_ms: float) -> bool:
         """Whether its plan lets it be sent once more at that time, and that can still earn something."""
         plan = self.event.plan
-        return (len(self.attempts) < min(most, plan.attempts) and at_ms < self.useful_ms
+        return (len(self.attempts) < min(most, self.most, plan.attempts) and at_ms < self.useful_ms
                 and all(a.result is None or a.result in plan.retry_on for a in self.attempts)
                 and (plan.learned is None or not self.attempts or plan.learned.spend(at_ms)))
 
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -4,11 +4,12 @@
 
 import json
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from ipaddress import IPv4Address
 from typing import Any
 
 from pipitledge.interface import Settings
+from pipitledge.node.settings_file import NONE, Broken, Numbers, check, check_against, renumbered
 from pipitledge.settings import settings_from
 
 Address = tuple[str, int]
@@ -27,6 +28,7 @@
     zones: Mapping[str, int]
     kinds: Mapping[str, int]
     default_zone: int = 0
+    numbers: Numbers = NONE  # vanished names too
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,7 @@
     idle_ms: float  # a worker's machine closes an idle connection after this
     console: Address | None = None  # the second address, for operators' calls
     folder: str = ""  # where processes of this node find each other; empty: an upgrade is no matter here
+    raw: Mapping[str, Any] = field(default_factory=dict)  # the file as it stands, for the check of the next one
     attempts: str = ""  # path of the file of attempt plans; empty: there is none
     printers: str = ""  # path of the file of printers; empty: the node does not print
     ipp_listen: str = ""
@@ -72,27 +75,47 @@
     return {name.encode(): index for name, index in names.items()}
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; a ConfigError names what is wrong with it."""
-    raw: dict[str, Any] = {}
+def load(environ: Mapping[str, str], in_force: Config | None = None) -> Config:
+    """Read the configuration; a ConfigError names what is wrong with it.
+
+    One that is to follow another is checked against it, and its names get the numbers that they had there.
+    """
+    raw: Any = {}
     try:
         if path := environ.get("BALANCER_CONFIG"):
             with open(path, encoding="utf-8") as file:
                 raw = json.load(file)
-        return _config(raw, environ)
+            (check(raw) if in_force is None else check_against(in_force.raw, raw))
+        config = _config(raw, environ)
+        return config if in_force is None else _carried(config, in_force)
     except ConfigError:
         raise
+    except Broken as fault:
+        raise ConfigError(str(fault)) from fault
     except Exception as fault:  # a reload must outlive whatever a file may hold
         raise ConfigError(f"{type(fault).__name__}: {fault}") from fault
 
 
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
-    return [key for key in ("name", "listen", "seed", "sockets", "memory_mb", "settings", "names",
-                            "dial_timeout_ms", "idle_ms", "console", "attempts",
+    return [key for key in ("name", "listen", "seed", "console", "attempts",
                             "printers", "ipp_listen", "ipp_store") if getattr(old, key) != getattr(new, key)]
 
 
+def _carried(new: Config, old: Config) -> Config:
+    stated, known = new.names.numbers, old.names.numbers
+    numbers = known.grown(*map(list, (stated.classes, stated.tenants, stated.zones, stated.kinds)))
+    names = Names(
+        classes={name.encode(): numbers.classes[name] for name in stated.classes},
+        tenants={name.encode(): numbers.tenants[name] for name in stated.tenants},
+        zones={name: numbers.zones[name] for name in stated.zones},
+        kinds={name: numbers.kinds[name] for name in stated.kinds},
+        default_zone=next((numbers.zones[name] for name, index in stated.zones.items()
+                           if index == new.names.default_zone), 0),
+        numbers=numbers)
+    return replace(new, names=names, settings=renumbered(new.settings, stated, numbers, old.settings))
+
+
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     def told(key: str) -> str:
         value = raw.get(key) or environ.get("BALANCER_" + key.upper())
@@ -106,7 +129,8 @@
     names = Names(
         classes=_bytes(_names(stated.get("lanes"))), tenants=_bytes(_names(stated.get("realms"))),
         zones=_names(stated.get("zones")), kinds=_names(stated.get("shapes")),
-        default_zone=int(stated.get("zone", 0)))
+        default_zone=int(stated.get("zone", 0)),
+        numbers=Numbers(*(_names(stated.get(key)) for key in ("lanes", "realms", "zones", "shapes"))))
     return Config(
         name=told("name"), listen=address(told("listen")), discovery=address(told("discovery")),
         seed=int(str(raw.get("seed", "0")), 16), sockets=int(limits.get("sockets", 1024)),
@@ -115,6 +139,7 @@
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
         console=address(str(console)) if console else None,
+        raw={key: value for key, value in raw.items() if key != "known"},
         folder=environ.get("TMPDIR", ""),
         attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
         printers=str(raw.get("printers") or ""), ipp_listen=str(raw.get("ipp_listen") or ""),
--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -55,6 +55,7 @@
     passage: Any  # what the server link passes on; opaque here
     reply: Callable[[Answer], None]
     deadline_ms: float = 0.0
+    most: int = 1 << 30  # executions that the settings allowed when it came
     sends: int = 0  # executions so far, MOOT ones included: their numbers follow the module's sends
     out: dict[int, Execution] = field(default_factory=dict)
     open: bool = True
@@ -114,7 +115,7 @@
         """Take a query; None if one of this id is still here, as the module would ignore the second."""
         if arrival.job in self.queries or arrival.job in self.elsewhere:
             return None
-        query = Query(arrival, passage, reply)
+        query = Query(arrival, passage, reply, most=self.policy.settings.max_attempts)
         early = min(EARLY_MS, EARLY_SHARE * arrival.lasts_ms)
         query.deadline_ms = min(self.clock.now() + arrival.lasts_ms - early, self.end_by_ms)
         if arrival.plan.learned is not None:
@@ -226,7 +227,7 @@
         execution = Execution(query, query.sends, action.worker, now, deadline)
         query.sends += 1
         query.out[execution.number] = execution
-        if not query.open or now >= deadline or query.sends > self.policy.settings.max_attempts:
+        if not query.open or now >= deadline or query.sends > min(query.most, self.policy.settings.max_attempts):
             self.ended(execution, Ending.NEVER_SENT)
         else:
             self.counters.add("execution.started")
--- a/pipitledge/node/household.py
+++ b/pipitledge/node/household.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
+from pipitledge.interface import SettingsChanged
 from pipitledge.node.budget import bodies, budget
 from pipitledge.node.config import Config
 from pipitledge.node.console import Call
@@ -9,6 +12,7 @@
 from pipitledge.node.front import Front
 from pipitledge.node.handover import Estate
 from pipitledge.node.host_group import HostGroup
+from pipitledge.node.knowledge import inherited, learned_by
 from pipitledge.node.operations import Operations
 from pipitledge.node.server_link import Pool
 from pipitledge.node.succession import Claim, Partner, Succession
@@ -26,12 +30,25 @@
         succession.alone, succession.over = self._alone, dispatch.elsewhere.difference_update
         succession.adopt, succession.do = front.adopt, self._do
 
+    def adopt(self, told: Config) -> None:
+        """Put another configuration in force, in one step: no query sees half of it."""
+        self.told, names = told, told.names
+        self.dispatch.events.append(SettingsChanged(told.settings if self.succession.heir is None else
+                                                    replace(told.settings, overload_factor=0.0)))
+        self.dispatch.round()
+        self.front.names, self.front.settings, self.group.names = names, told.settings, names
+        self.pool.allow(told.dial_timeout_ms, told.idle_ms)
+        self.share_out()
+        self.group.move(told.discovery)
+
     def inherit(self, claimed: Claim) -> None:
         """Go on from what the elder told."""
         estate, group = claimed.estate, self.group
         group.out.update(estate.out)
         group.cold_from.update(estate.cold_from)
         group.start({"rev": estate.rev, "all": True, "targets": estate.rows})
+        if (learned := inherited(estate.learned, self.told.names.numbers, self.dispatch.policy)) is not None:
+            self.dispatch.events.append(learned)
         group.watch()  # at once: the module would ask within seconds, and news is owed sooner
         self.dispatch.elsewhere.update(estate.open)
         if estate.lame_since is not None:
@@ -51,11 +68,15 @@
         self.front.hand_over(self.succession.pass_on)
         self.dispatch.over = self.succession.tell_over
         group, duty = self.group, self.front.duty
+        learned = learned_by(self.dispatch.policy, self.told.names.numbers)
+        # The cold workers' budgets are the heir's from now on.
+        self.dispatch.events.append(SettingsChanged(replace(self.told.settings, overload_factor=0.0)))
         return Estate(group.version, list(group.raw.values()), group.out, group.cold_from, duty.lame_since_ms,
-                      list(self.dispatch.queries)), self.front.listener.fileno()
+                      list(self.dispatch.queries), learned), self.front.listener.fileno()
 
     def _take_back(self) -> None:
         self.dispatch.over = lambda ids: None
+        self.dispatch.events.append(SettingsChanged(self.told.settings))
         self.front.take_back()
         self.share_out()
 
--- a/pipitledge/node/plan_file.py
+++ b/pipitledge/node/plan_file.py
@@ -23,9 +23,13 @@
         """Know the file's path; an empty one means that there is none, and every plan allows all."""
         self.path, self.scheduler, self.clock = told.attempts, scheduler, clock
         self.counters, self.log = counters, log
-        self.loader = Loader(told.settings, {name.decode(): index for name, index in told.names.classes.items()})
+        self.loader = self._loader_for(told)
         self.plans = Plans()
-        self._reading = self._again = False
+        self._reading = False
+        self._next: tuple[Config, Callable[[bool], None]] | None = None
+
+    def _loader_for(self, told: Config) -> Loader:
+        return Loader(told.settings, dict(told.names.numbers.classes))
 
     def plan(self, job_class: int, target: bytes) -> Plan:
         """The plan for a request of this class with this target."""
@@ -33,44 +37,51 @@
 
     def start(self) -> bool:
         """Read the file before the node serves; False if it can't be used: a node without its plans is none."""
-        return not self.path or self._take(finish(self._load()))
+        return not self.path or self._take(finish(self._load(self.loader)), self.loader)
+
+    def reload(self, told: Config, then: Callable[[bool], None]) -> None:
+        """Read the file again beside what is served, in slices, against these settings.
 
-    def reload(self) -> None:
-        """Read the file again beside what is served: in slices, and once more if it was asked for meanwhile."""
+        `then` is told whether the plans fit, in the same moment in which they come into force. What was asked for
+        meanwhile and has not begun is overtaken by the newest.
+        """
         if not self.path:
+            then(True)
             return
-        self._again = self._reading
+        self._next = told, then
         if not self._reading:
             self._reading = True
             self.scheduler.spawn(self._reload)
 
     def _reload(self) -> None:
         try:
-            steps, pause = self._load(), self._pause
-            while True:
-                try:
-                    next(steps)
-                    pause()
-                except StopIteration as end:
-                    self._take(end.value)
-                    return
+            while self._next is not None:
+                (told, then), self._next = self._next, None
+                loader = self._loader_for(told)
+                loader.learned[:len(self.loader.learned)] = self.loader.learned
+                steps = self._load(loader)
+                while True:
+                    try:
+                        next(steps)
+                        self._pause()
+                    except StopIteration as end:
+                        then(self._take(end.value, loader))
+                        break
         finally:
             self._reading = False
-            if self._again:
-                self.reload()
 
     def _pause(self) -> None:
         self.scheduler.wait(self.clock.now())
 
-    def _load(self) -> Generator[None, None, Loaded]:
+    def _load(self, loader: Loader) -> Generator[None, None, Loaded]:
         try:
             with pathlib.Path(self.path).open("rb") as file:
                 data = file.read(MOST_BYTES + 1)
         except OSError as fault:
             return Loaded(None, [Mistake(Place(self.path), f"can't be read: {fault.strerror or fault}")])
-        return (yield from self.loader.load(self.path, data))
+        return (yield from loader.load(self.path, data))
 
-    def _take(self, loaded: Loaded) -> bool:
+    def _take(self, loaded: Loaded, loader: Loader) -> bool:
         """Put plans in force, or keep those there are; what the file says wrong goes to the log, line by line."""
         for mistake in loaded.mistakes:
             what = "plans-mistake" if mistake.severity is Severity.ERROR else "plans-warning"
@@ -79,8 +90,8 @@
             self.counters.add("plans.kept")
             self.log("plans", kept=self.path, mistakes=len(errors(loaded.mistakes)))
             return False
-        self.plans = loaded.plans
-        self.loader.apply(loaded.plans)
+        self.plans, self.loader = loaded.plans, loader
+        loader.apply(loaded.plans)
         self.counters.add("plans.read")
         self.log("plans", file=self.path, classes=len(loaded.plans.classes), routes=len(loaded.plans.routes),
                  warnings=len(loaded.mistakes))
--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -228,8 +228,8 @@
         """Keep at most `most` links, and none idle for longer than the workers allow."""
         self.scheduler, self.clock, self.dispatch, self.counters, self.log = (
             scheduler, clock, dispatch, counters, log)
-        self.dial_timeout_ms, self.most = dial_timeout_ms, most
-        self.idle_ms = max(idle_ms * 0.1, min(idle_ms * IDLE_SHARE, idle_ms - IDLE_SPARE_MS))
+        self.most = most
+        self.allow(dial_timeout_ms, idle_ms)
         self.addresses: dict[str, Address] = {}
         self.links: set[ServerLink] = set()
         self.reuse = Reuse()
@@ -258,6 +258,11 @@
             return
         self.links.add(ServerLink(self, worker, address, execution))
 
+    def allow(self, dial_timeout_ms: float, idle_ms: float) -> None:
+        """Take what the settings say of connections, for those that begin or come to be idle from now on."""
+        self.dial_timeout_ms = dial_timeout_ms
+        self.idle_ms = max(idle_ms * 0.1, min(idle_ms * IDLE_SHARE, idle_ms - IDLE_SPARE_MS))
+
     def limit(self, most: int) -> None:
         """Hold to another budget from now on; idle links beyond it are closed."""
         self.most = most
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -1,6 +1,5 @@
 """Every decision of the dispatcher. Its settings, events, actions and records are in interface.py.
 
-Jobs are admitted by slot tokens per tenant, wait here until a worker has room, and are then placed.
 In reading order: tokens and capacity, held queue, placement, cold workers, attempts, health, list, timers.
 """
 
@@ -13,8 +12,9 @@
 
 from pipitledge.interface import (
     NEVER_RAN, Action, AttemptEnded, AttemptNote, AttemptRecord, Cancel, ClientGone, Event, Fail, Held,
-    JobArrived, JobRecord, Jobs, Later, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat, Result, Scope,
-    Send, SetTimer, Settings, State, Subscribe, TimerFired, WorkerRecord, WorkersChanged)
+    Inherited, JobArrived, JobRecord, Jobs, Later, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat,
+    Result, Scope, Send, SetTimer, Settings, SettingsChanged, State, Subscribe, TimerFired, WorkerRecord,
+    WorkersChanged)
 
 SAMPLE = 6  # workers looked at for one job: enough to find room, whatever the size of the fleet
 LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
@@ -25,12 +25,11 @@
 SILENT, SILENT_MS = 1.1, 200.0  # times the pace of progress notes, and this much more: it is dead
 SETTLED_MS, SETTLE = 20.0, 0.1  # a start or a wait is no matter of messages crossing; weight of a wait
 FAILS_TIMES, FAILS_LEAST = 4.0, 0.55  # set aside at so many times the fleet's failures, and so many at least
-# How much faster a worker that fails has to be: those that are well are kept for what must not be repeated.
-SHY = {Repeat.SAFE: 0.5, Repeat.KEYED: 1.0, Repeat.UNSAFE: 4.0}
+SHY = {Repeat.SAFE: 0.5, Repeat.KEYED: 1.0, Repeat.UNSAFE: 4.0}  # how much faster one that fails has to be
 ASIDE_MS, ASIDE_MOST_MS = 1_000.0, 8_000.0  # first and longest time aside: troubles last seconds
 ASIDE_SHARE = 0.5  # with more than this part of the fleet aside, it is not the workers
 FRESH_MS, BEYOND = 300.0, 2.0  # what was last heard of room elsewhere counts for so long; slots beyond ours
-COLD_SAFETY = 0.5  # part of the cold budget in use: sizes are unknown, and lists differ a little
+COLD_SAFETY, COLD_FIRST = 0.5, 0.25  # parts of the cold budget in use: sizes are unknown, lists differ
 BUSY_MS, IDLE_MS, REWARM_MS = 40.0, 200.0, 500.0  # ticks with and without held jobs, for cold workers
 PROBE_SHARE, PROBE_BURST = 0.1, 4.0  # probes a job and at once, where reports come no other way
 WAITING = 0.35  # part of the wait that jobs can afford that admission plans with: it is a mean
@@ -47,18 +46,12 @@
     """One scheduler's decisions: feed it events in order and carry out the actions it returns."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings, self.random, self.now = settings, random.Random(seed), 0.0
-        self.actions: list[Action] = []
+        self.random, self.now, self.actions = random.Random(seed), 0.0, list[Action]()
         self.jobs, self.held, self.later = Jobs(), Held(), Later()
-        shares = sum(tenant.share for tenant in settings.tenants) or 1.0
-        self.shares = [tenant.share / shares for tenant in settings.tenants]
         # By tenant: tokens, that is slots of admitted jobs, held or sent; slots of sent jobs.
-        self.inflight, self.running = [0.0] * len(self.shares), [0.0] * len(self.shares)
-        self.run_ms = [c.objective_ms for c in settings.classes]  # learned running time by class
-        self.per_hint = [1.0 for _ in settings.classes]  # learned running time over hint
-        # Learned slots of a worker by kind. Where starts are told, waits correct what begins too high.
-        self.slots = [SLOTS_START if settings.tells_start else 1.0] * settings.kinds
-        self.kind_slowness = [0.0] * settings.kinds
+        self.inflight, self.running = list[float](), list[float]()
+        self.run_ms, self.per_hint = list[float](), list[float]()  # by class: running time, that over hint
+        self.slots, self.kind_slowness = list[float](), list[float]()  # by kind: slots of a worker, its pace
         self.workers: dict[str, WorkerRecord] = {}
         # Serving workers by id, the same for every scheduler; our arc of this ring; those of it with room.
         self.ring, self.mine, self.with_room = list[WorkerRecord](), list[WorkerRecord](), Pool()
@@ -72,7 +65,23 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             JobArrived: self._arrived, AttemptEnded: self._ended, AttemptNote: self._noted,
             ClientGone: self._client_gone, ProbeEnded: self._probed, WorkersChanged: self._listed,
-            TimerFired: self._timer}
+            TimerFired: self._timer, SettingsChanged: self._adopt, Inherited: self._inherit}
+        self._adopt(SettingsChanged(settings))
+
+    def _adopt(self, event: SettingsChanged) -> None:
+        """Take settings, the first or others: numbers keep their meaning, and what was learned by them."""
+        self.settings, self.shares = event.settings, event.settings.shares()
+        lists = self.inflight, self.running, self.run_ms, self.per_hint, self.slots, self.kind_slowness
+        for known, begin in zip(lists, self.settings.begin(SLOTS_START), strict=True):
+            known.extend(begin[len(known):])
+
+    def _inherit(self, event: Inherited) -> None:
+        """Go on from what another process of this scheduler has learned."""
+        self.run_ms, self.per_hint, self.slots, self.kind_slowness = map(list, event.by_number)
+        self.spill, self.fleet_failures, self.dead = event.figures
+        for name in event.workers.keys() & self.workers.keys():
+            self.workers[name].inherit(event.workers[name])
+        self._share_out()
 
     def handle(self, now_ms: float, events: Sequence[Event]) -> list[Action]:
         """Take the events of one moment, in order, and decide."""
@@ -127,9 +136,7 @@
         return max(job.event.slots, self.own + self.spill) * (1.0 + WAITING * job.wait_ms / mean)
 
     def _refuse(self, job: str) -> None:
-        """Refuse, and say when to ask again. The aim runs from the first try and overloads last for seconds:
-        who comes back within one takes tokens from jobs that can still be in time. So it is as long as
-        clients will wait."""
+        """Refuse; ask again after the longest time that clients heed, as overloads last for seconds."""
         rules = self.settings
         self.actions.append(Refuse(job, rules.max_retry_after_ms if rules.retry_after else 0.0))
 
@@ -145,7 +152,7 @@
         end, tick = self.now + event.lasts_ms, self.settings.resolution_ms
         useful = min(max(useful, end - 1.5 * size if cls.late_share else 0.0), end - 4.0 * tick)
         tenant = min(event.tenant, len(self.shares) - 1)
-        job = JobRecord(event, cls, tenant, max(1.0, size), wait, born, useful)
+        job = JobRecord(event, cls, tenant, max(1.0, size), wait, born, useful, self.settings.max_attempts)
         if self.now > useful or not (self._admit(job) or self._push_out(job)):
             self._refuse(event.job)
             return
@@ -195,18 +202,17 @@
     def _sweep(self) -> None:
         """End held jobs that can earn nothing more, while the answer is still in time."""
         jobs = self.held.jobs()
-        for job in jobs:
-            if self.now >= job.held_until:
-                self._give_up(job)
+        for job in [job for job in jobs if self.now >= job.held_until]:
+            self._give_up(job)
         self.due_ms = min([job.held_until for job in jobs if job.held], default=math.inf)
 
     # ---- placement, cold workers
 
     def _place(self, job: JobRecord) -> bool:
         """Send the job to a worker with room: in our arc of the ring first, then elsewhere."""
-        worker, slots = self._best(job, own=True), job.event.slots
-        spilled = worker is None
-        if spilled and (not self.spill_out or self.spill_out + slots <= self.spill):
+        worker, slots = self._untried(job) or self._best(job, own=True), job.event.slots
+        spilled = worker is None or not worker.part
+        if worker is None and (not self.spill_out or self.spill_out + slots <= self.spill):
             worker = self._best(job, own=False)
         if worker is None:  # late on a cold worker of ours is better than not at all, and warms it
             worker, spilled = self._best(job, own=True, strict=False), False
@@ -224,6 +230,13 @@
         self._touch(worker)
         return True
 
+    def _untried(self, job: JobRecord) -> WorkerRecord | None:
+        """A worker that has just started, for one safe job, late or not: it looks too cold to be used."""
+        cost, rules = job.event.slots * job.size_ms * self.settings.instances, self.settings
+        return next((new for new in self.ring if not new.tried and new.warm < 1.0 and cost <= (
+            COLD_FIRST * rules.overload_factor * self.slots[new.kind] * new.warm * rules.fall_ms)
+            and job.cls.kind in (-1, new.kind)), None) if job.cls.repeat is Repeat.SAFE else None
+
     def _best(self, job: JobRecord, own: bool, strict: bool = True) -> WorkerRecord | None:
         """The roomiest and fastest of a small random sample: all schedulers read the same late report."""
         best, best_score, pool = None, -math.inf, self.with_room if own else self.ring
@@ -277,13 +290,7 @@
         """Slot-ms we may send a cold worker now: our part of what all together may, accrued in fractions."""
         rules = self.settings
         rate = COLD_SAFETY * rules.overload_factor * self.slots[worker.kind] * worker.warm * worker.part
-        if worker.cold_ms < 0.0:  # slivers that accrue in step would all send at one moment
-            worker.cold_tokens, worker.cold_ms = -self.random.random() * cost, worker.row.started_ms
-        worker.cold_tokens += rate * (self.now - worker.cold_ms)
-        worker.cold_ms = self.now
-        if worker.cold_tokens > cost + rate * rules.fall_ms:  # unused it lapses: saved up it would be a burst
-            worker.cold_tokens = rate * rules.fall_ms
-        return worker.cold_tokens
+        return worker.accrue(rate, rules.fall_ms, cost, self.random, self.now)
 
     # ---- attempts
 
@@ -348,9 +355,8 @@
     def _look(self) -> None:
         """Learn slots from what runs and what waits at the workers, whatever their reports show free.
 
-        A worker under load never reports many free. So many as run there for a while it has; where a job
-        waits, it has fewer than that job would need, but for other nodes' jobs. One that later jobs have
-        overtaken is not waiting for slots.
+        A worker under load never reports many free. So many as run there it has; where a job waits, it has
+        fewer than that needs, but for other nodes' jobs. One that was overtaken waits for no slots.
         """
         runs, waits = dict[WorkerRecord, float](), dict[WorkerRecord, float]()
         for job, _, attempt in self.jobs.out():
@@ -369,9 +375,8 @@
     def _doubt(self) -> None:
         """Look for attempts that are overdue, and give up those that have shown no sign of life.
 
-        A connection may fall silent and stay open. Its job has ended there, but here it would hold its slots
-        until the client's patience ends. A long job looks the same, so of an overdue attempt's slots and
-        tokens that part counts as free which such attempts turn out to be dead. Eighths keep sums even.
+        A connection may fall silent and stay open, its job dead; a long job looks the same. So of an overdue
+        attempt's slots and tokens that part is free which such ones prove dead. Eighths keep sums even.
         """
         notes = self.settings.progress_ms if self.settings.tells_start and self.settings.cancel else math.inf
         for job, number, attempt in self.jobs.out():
@@ -474,8 +479,7 @@
         """Follow the list: a draining or gone worker gets nothing from this moment on."""
         if event.listing is Listing.FAILED:  # ask again, later each time and never all at once
             self.list_failures += 1
-            # News counts as told after seconds, heard or not; but many schedulers must not ask all the time.
-            most = max(ASK_AGAIN_MS, ASK_EACH_MS * self.settings.instances)
+            most = max(ASK_AGAIN_MS, ASK_EACH_MS * self.settings.instances)  # many must not ask all the time
             wait = min(self.settings.ask_every_ms, most, 250.0 * 2.0**self.list_failures)
             self.actions.append(SetTimer(wait * (0.5 + self.random.random()), LIST))
             return
@@ -505,8 +509,8 @@
         """Give every scheduler an equal arc of the ring; a cold worker counts by its least warmth by now."""
         rules, before, self.shared_out_ms, self.mine = self.settings, self.mine, self.now, []
         for worker in self.ring:
-            started = worker.row.started_ms  # 0: long past
-            age = (self.now - started) / max(1.0, rules.cold_ms) if started > 0 else 1.0
+            since = worker.row.started_ms or -1e15  # 0: long past
+            age = (self.now - since) / max(1.0, rules.cold_ms)
             worker.warm = min(1.0, max(0.01, rules.cold_share + (1.0 - rules.cold_share) * age))
         for worker in before:
             worker.part = 0.0
@@ -523,8 +527,7 @@
 
     def _refresh(self) -> None:
         """What time alone changes: workers no longer full, aside or cold."""
-        for name in [name for name, worker in self.aside.items() if self.now >= worker.aside_until]:
-            del self.aside[name]
+        self.aside = {name: worker for name, worker in self.aside.items() if self.now < worker.aside_until}
         self.own = 0.0
         for worker in self.mine:
             self._touch(worker)
@@ -542,7 +545,6 @@
             if self.settings.tells_start:
                 self._look()
             (self._share_out if self.now > self.shared_out_ms + REWARM_MS else self._refresh)()
-            # Where reports come by probes alone, look at a few workers, no more than so many a job.
             while self.settings.must_probe and self.probe_credit >= 1.0 and self.ring:
                 self.probe_credit -= 1.0
                 self.actions.append(Probe(self.random.choice(self.ring).row.id))
