Test settings that change: broken files by place, numbers that hold, jobs under way

29 broken files are each kept out with the place named; names keep their numbers over random files; the module keeps the class of jobs under way and fewer attempts hold at once; a running node serves a new class, answers 404 for a vanished one and finishes its jobs.

--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,187 @@
+"""Settings that change: what is kept out, which numbers hold, and what becomes of jobs under way."""
+
+from __future__ import annotations
+
+import copy
+import json
+import pathlib
+import signal
+import socket
+from typing import Any
+
+import pytest
+from helpers import SAFE, UNSAFE, Driver, of
+from helpers import settings as module_settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from net_helper import END, HEAD, line
+from node_helper import Node, exchange, job, told
+
+from pipitledge.interface import Refuse, Repeat, Result, Send, SettingsChanged, Tenant
+from pipitledge.node import config
+from pipitledge.node.settings_file import Broken, check_against
+
+DERANDOMISED = hypothesis_settings(derandomize=True, deadline=None, max_examples=60, database=None)
+LANE = {"name": "menu-plan", "deadline_ms": 5000, "objective_ms": 100.0, "repeat": "free", "worth": 1.0}
+FULL = told(settings={
+    "lanes": [LANE, LANE | {"name": "order-pay", "repeat": "guarded", "dedup_scope": "cell", "window_ms": 7500}],
+    "realms": [{"name": "hverdag", "share": 0.6}, {"name": "familie", "share": 0.4}],
+    "shapes": ["fast-4", "slow-5"], "zones": ["aarhus-1"], "zone": 0, "discovery": "ask",
+    "permissions": {"max_attempts": 6, "cancel": True}, "rules": {"cold_ms": 22000.0},
+    "specifics": {"class_stretch": [1.75, 2.5], "report_x0": "free slots"}})
+
+
+def with_(place: str, value: Any) -> dict[str, Any]:
+    """The whole file with one place changed, or without it where the value is KeyError."""
+    raw = copy.deepcopy(FULL)
+    *path, last = [int(key) if key.isdigit() else key for key in place.split("/")]
+    at: Any = raw
+    for key in path:
+        at = at[key]
+    if value is KeyError:
+        del at[last]
+    else:
+        at[last] = value
+    return raw
+
+
+@pytest.mark.parametrize("place, value, said", [
+    ("settings", KeyError, "settings: no object"), ("settings", [], "settings: no object"),
+    ("discovery", KeyError, "discovery: missing"), ("listen", KeyError, "listen: missing"),
+    ("limits/sockets", KeyError, "limits.sockets: missing"), ("limits/sockets", 0, "limits.sockets"),
+    ("settings/permissions", KeyError, "settings.permissions: missing"),
+    ("settings/permissions/max_attempts", KeyError, "settings.permissions.max_attempts: missing"),
+    ("settings/permissions/max_attempts", 0, "'0' is no positive whole number"),
+    ("settings/permissions/max_attempts", 2.5, "'2.5' is no positive whole number"),
+    ("settings/permissions/max_attempts", True, "no positive"),
+    ("settings/permissions/max_attempts", "3", "no positive"),
+    ("settings/permissions/cancel", 1, "settings.permissions.cancel: '1' is no true or false"),
+    ("settings/rules/cold_ms", KeyError, "settings.rules.cold_ms: missing"),
+    ("settings/rules/cold_ms", None, "settings.rules.cold_ms: 'None' is no number"),
+    ("settings/lanes/1/deadline_ms", 0, "settings.lanes[1].deadline_ms"),
+    ("settings/lanes/1/deadline_ms", -5, "settings.lanes[1].deadline_ms: '-5' is no positive number"),
+    ("settings/lanes/0/deadline_ms", "5000", "settings.lanes[0].deadline_ms"),
+    ("settings/lanes/0/deadline_ms", float("inf"), "settings.lanes[0].deadline_ms: inf is no number"),
+    ("settings/lanes/0/deadline_ms", KeyError, "settings.lanes[0].deadline_ms: missing"),
+    ("settings/lanes/0/repeat", KeyError, "settings.lanes[0].repeat: missing"),
+    ("settings/lanes/0/name", KeyError, "settings.lanes[0].name: missing"),
+    ("settings/lanes/0/name", "order-pay", "named twice"), ("settings/lanes", [], "settings.lanes: no class"),
+    ("settings/lanes", {}, "settings.lanes: no list"),
+    ("settings/lanes/0", "menu-plan", "settings.lanes[0]: no object"),
+    ("settings/realms/0/share", "all", "settings.realms[0].share"), ("settings/shapes", [1], "settings.shapes[0]"),
+    ("settings/specifics/class_stretch", [1.75], "settings.specifics.class_stretch: 1 values for 2 classes"),
+])
+def test_a_file_that_can_not_be_taken_is_kept_out_and_its_place_named(place: str, value: Any, said: str) -> None:
+    with pytest.raises(Broken) as fault:
+        check_against(FULL, with_(place, value))
+    assert said in str(fault.value)
+
+
+@pytest.mark.parametrize("raw", [None, [], "text", 5, {}])
+def test_what_is_no_configuration_is_kept_out(raw: object) -> None:
+    with pytest.raises(Broken):
+        check_against(FULL, raw)
+
+
+def test_what_an_operator_may_change_is_taken() -> None:
+    for place, value in (("settings/lanes", [LANE | {"repeat": "single_shot"}]), ("settings/realms/0/share", 1),
+                         ("settings/permissions/max_attempts", 1), ("known", KeyError), ("more", {"x": 1})):
+        if place == "settings/lanes":
+            changed = with_(place, value)
+            changed["settings"]["specifics"]["class_stretch"] = [2.0]
+            check_against(FULL, changed)
+        else:
+            check_against(FULL, with_(place, value))
+
+
+@DERANDOMISED
+@given(files=st.lists(st.tuples(*(st.lists(st.sampled_from("abcde"), min_size=1, max_size=4, unique=True)
+                                  for _ in range(3)), st.integers(1, 9)), min_size=1, max_size=6))
+def test_names_keep_their_numbers_and_what_has_vanished_keeps_its_place(
+        files: list[tuple[list[str], list[str], list[str], int]], tmp_path_factory: pytest.TempPathFactory) -> None:
+    path = tmp_path_factory.getbasetemp() / "config.json"
+    seen: dict[str, int] = {}
+    worths: dict[str, float] = {}
+    now: config.Config | None = None
+    for classes, tenants, kinds, worth in files:
+        stated = FULL["settings"] | {
+            "lanes": [LANE | {"name": name, "worth": worth + index} for index, name in enumerate(classes)],
+            "realms": [{"name": name, "share": 1.0 + index} for index, name in enumerate(tenants)], "shapes": kinds,
+            "specifics": {"class_kind": [index % len(kinds) for index in range(len(classes))]}}
+        path.write_text(json.dumps(FULL | {"settings": stated}))
+        now = config.load({"BALANCER_CONFIG": str(path)}, now)
+        for index, name in enumerate(classes):
+            assert seen.setdefault(name, len(seen)) == now.names.classes[name.encode()]
+            worths[name] = worth + index
+            kind = now.settings.classes[seen[name]].kind
+            assert kind == now.names.kinds[kinds[index % len(kinds)]] < now.settings.kinds
+        assert {name.decode() for name in now.names.classes} == {*classes}
+        assert [now.settings.classes[number].worth for number in seen.values()] == [worths[name] for name in seen]
+        shares = {name: now.settings.tenants[number].share for name, number in now.names.numbers.tenants.items()}
+        assert shares == {name: 0.0 for name in shares} | {name: 1.0 + at for at, name in enumerate(tenants)}
+
+
+# ---- the module
+
+
+def test_jobs_under_way_keep_their_class_and_fewer_attempts_hold_at_once() -> None:
+    driver = Driver(module_settings(max_attempts=3), workers=3)
+    [safe] = of(driver.job("safe"), Send)
+    [other] = of(driver.job("other"), Send)
+    stricter = module_settings(classes=(UNSAFE, UNSAFE, SAFE), max_attempts=2,
+                               tenants=(Tenant(0.0), Tenant(0.5), Tenant(0.5)))
+    driver.tell(SettingsChanged(stricter))
+    [again] = of(driver.end(safe, Result.ERROR), Send)  # its class was safe to repeat when it came
+    assert of(driver.end(again, Result.ERROR), Refuse)  # the second attempt was the last
+    [new] = of(driver.job("new", tenant=2, job_class=2), Send)
+    assert of(driver.end(new, Result.ERROR), Send)
+    [once] = of(driver.job("once"), Send)
+    assert not of(driver.end(once, Result.ERROR), Send)  # class 0 must not be repeated from now on
+    driver.tell(SettingsChanged(module_settings(classes=(UNSAFE, UNSAFE, SAFE), max_attempts=9,
+                                                tenants=(Tenant(0.0), Tenant(0.5), Tenant(0.5)))))
+    [second] = of(driver.end(other, Result.ERROR), Send)
+    [third] = of(driver.end(second, Result.ERROR), Send)
+    assert not of(driver.end(third, Result.ERROR), Send)  # three were allowed when it came
+    assert driver.policy.settings.classes[0].repeat is Repeat.UNSAFE
+
+
+# ---- the node
+
+
+def test_a_running_node_takes_classes_in_and_keeps_jobs_of_those_that_vanish(tmp_path: pathlib.Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as worker:
+        row = {"uid": "s-0", "endpoint": f"127.0.0.1:{worker.getsockname()[1]}", "az": "aarhus-1", "model": "fast-4",
+               "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
+        worker.settimeout(10.0)
+        known = {"rev": 1, "all": True, "targets": [row, row | {"uid": "s-1"}]}  # of one slot each
+        with Node(tmp_path, settings=FULL["settings"], known=known) as node, node.client() as client:
+            client.sendall(job("a"))
+            link, _ = worker.accept()
+            with link:
+                lanes = [LANE | {"name": "fish-cake"}, FULL["settings"]["lanes"][1]]
+                node.write(settings=FULL["settings"] | {"lanes": lanes})
+                node.signal(signal.SIGHUP)
+                assert "settings=changed classes=fish-cake,order-pay needs_restart=-" in node.until("config")
+                with node.client() as other:
+                    assert b" 404 " in exchange(other, job("b"))  # menu-plan has vanished
+                with node.client() as other:
+                    other.sendall(job("c").replace(b"menu-plan", b"fish-cake"))
+                    of_new, _ = worker.accept()
+                    with of_new:
+                        of_new.sendall(HEAD + line("done", result="cakes") + END)
+                        assert other.recv(4_096).endswith(b"cakes")
+                link.sendall(HEAD + line("done", result="menu") + END)
+                assert client.recv(4_096).endswith(b"menu")
+
+
+def test_plans_that_do_not_fit_the_new_settings_keep_all_as_it_was(tmp_path: pathlib.Path) -> None:
+    plans = tmp_path / "attempts.conf"
+    plans.write_text("class menu-plan\n  attempts 2\n")
+    with Node(tmp_path, attempts=str(plans)) as node, node.client() as client:
+        lanes = [LANE | {"name": "menu-plan", "repeat": "single_shot"}, LANE | {"name": "fish-cake"}]
+        plans.write_text("class menu-plan\n  attempts 2\n  retry-on reset\n")
+        node.write(settings=told()["settings"] | {"lanes": lanes}, attempts=str(plans))  # type: ignore[operator]
+        node.signal(signal.SIGHUP)
+        assert "does not fit these settings" in node.until(" config kept=")
+        assert b" 404 " in exchange(client, job("b").replace(b"menu-plan", b"fish-cake"))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -102,6 +102,7 @@
 
 def test_an_heir_takes_listener_and_idle_connections_and_the_elder_answers_what_it_has(tmp_path: pathlib.Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as worker:
+        worker.settimeout(10.0)
         row = ROWS[0] | {"endpoint": f"127.0.0.1:{worker.getsockname()[1]}"}
         with Node(tmp_path, settings=PATIENT, known={"rev": 3, "all": True, "targets": [row]}) as elder, \
                 elder.client() as idle, elder.client() as busy, elder.client() as fresh:
