--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -417,7 +417,7 @@
         """Take what another process has learned of this worker since it started."""
         for name in self.LEARNED:
             if name in learned:
-                setattr(self, name, learned[name])
+                setattr(self, name, type(getattr(self, name))(learned[name]))
 
     def accrue(self, rate: float, window_ms: float, cost: float, random: Random, now_ms: float) -> float:
         """Count the cold budget on to now and return it: slot-ms, at `rate` a millisecond."""
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -18,9 +18,10 @@
 from net_helper import END, HEAD, line
 from node_helper import Node, exchange, job, told
 
-from pipitledge.interface import Refuse, Repeat, Result, Send, SettingsChanged, Tenant
+from pipitledge.interface import Listing, Refuse, Repeat, Result, Send, SettingsChanged, Tenant, Worker
 from pipitledge.node import config
-from pipitledge.node.settings_file import Broken, check_against
+from pipitledge.node.knowledge import inherited, learned_by
+from pipitledge.node.settings_file import Broken, Numbers, check_against
 
 DERANDOMISED = hypothesis_settings(derandomize=True, deadline=None, max_examples=60, database=None)
 LANE = {"name": "menu-plan", "deadline_ms": 5000, "objective_ms": 100.0, "repeat": "free", "worth": 1.0}
@@ -146,6 +147,42 @@
     assert driver.policy.settings.classes[0].repeat is Repeat.UNSAFE
 
 
+def test_what_a_module_has_learned_comes_to_the_one_that_takes_its_place_by_name() -> None:
+    """Handed on as figures, a flag was a float and every further send a fault of the module."""
+    elder, heir = (Driver(module_settings(kinds=2), workers=0, seed=seed) for seed in (1, 2))
+    rows = [Worker("w0"), Worker("w1", kind=1), Worker("w2", started_ms=900.0)]
+    elder.list(rows)
+    elder.learn_slots(6.0, 8)
+    heir.list(rows)
+    heir.now = elder.now
+    names = Numbers({"a": 0, "b": 1}, {}, {}, {"fast": 0, "slow": 1})
+    other = Numbers({"b": 0, "c": 1}, {}, {}, {"slow": 0, "fast": 1})  # in another order, and one is new
+    learned = json.loads(json.dumps(learned_by(elder.policy, names)))
+    given = inherited(learned, other, heir.policy)
+    assert given is not None
+    heir.tell(given)
+    assert heir.policy.slots == elder.policy.slots[::-1] and heir.policy.run_ms[0] == elder.policy.run_ms[1]
+    for name, worker in heir.policy.workers.items():
+        assert (worker.slowness, worker.cold_tokens, worker.tried) == (
+            elder.policy.workers[name].slowness, elder.policy.workers[name].cold_tokens,
+            elder.policy.workers[name].tried)
+    assert any(worker.tried for worker in heir.policy.workers.values())
+    heir.learn_slots(6.0, 8)
+    assert len(of(heir.did, Send)) == 8
+    for broken in ({}, {"run_ms": 5}, learned | {"spill": "much"}, learned | {"workers": [1]}):
+        assert inherited(broken, other, heir.policy) is None
+
+
+def test_a_worker_just_started_gets_one_safe_job_of_ours_and_no_other_before_it_is_warm_enough() -> None:
+    rules = {"cold_share": 0.1, "cold_ms": 22_000.0, "overload_factor": 3.0, "fall_ms": 2_000.0}
+    driver = Driver(module_settings(classes=(SAFE, UNSAFE), **rules), workers=3)
+    driver.learn_slots(4.0, 5)
+    driver.list([Worker("w1", started_ms=driver.now)], Listing.DELTA)
+    first = of(driver.job("unsafe", job_class=1), Send) + of(driver.job("safe"), Send)
+    second = of(driver.job("next"), Send)
+    assert [send.worker == "w1" for send in first + second] == [False, True, False]
+
+
 # ---- the node
 
 
