Let nodes tell each other whether they serve, and share the fleet among those left

Cause: with one of two nodes a lame duck the other refused 13 to 18 %, as its module keeps to its arc of the ring. The cold budget of all nodes stays what it was, whatever each believes.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -120,6 +120,7 @@
         household.inherit(claimed)
     else:
         group.start(told.known)
+    household.start()
     succession.offer()
     if told.printers:
         from pipitledge.ipp.node import PrintSide
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -47,6 +47,9 @@
     dial_timeout_ms: float
     idle_ms: float  # a worker's machine closes an idle connection after this
     console: Address | None = None  # the second address, for operators' calls
+    peer_listen: Address | None = None  # where the tier's nodes talk to each other, if the settings let them
+    peers: tuple[Address, ...] = ()  # by their numbers in the settings, this one's too
+    peers_all: Address | None = None
     folder: str = ""  # where processes of this node find each other; empty: an upgrade is no matter here
     raw: Mapping[str, Any] = field(default_factory=dict)  # the file as it stands, for the check of the next one
     attempts: str = ""  # path of the file of attempt plans; empty: there is none
@@ -98,7 +101,7 @@
 
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
-    return [key for key in ("name", "listen", "seed", "console", "attempts",
+    return [key for key in ("name", "listen", "seed", "console", "attempts", "peer_listen", "peers", "peers_all",
                             "printers", "ipp_listen", "ipp_store") if getattr(old, key) != getattr(new, key)]
 
 
@@ -116,6 +119,13 @@
     return replace(new, names=names, settings=renumbered(new.settings, stated, numbers, old.settings))
 
 
+def _peers(raw: Mapping[str, Any]) -> dict[str, Any]:
+    everybody = raw.get("peers_all")
+    return {"peer_listen": address(str(raw["peer_listen"])),
+            "peers": tuple(address(str(peer)) for peer in raw.get("peers") or []),
+            "peers_all": address(str(everybody)) if everybody else None}
+
+
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     def told(key: str) -> str:
         value = raw.get(key) or environ.get("BALANCER_" + key.upper())
@@ -139,6 +149,7 @@
         dial_timeout_ms=float(allow.get("dial_timeout_ms", 1_000.0)),
         idle_ms=float(allow.get("conn_idle_ms", 15_000.0)),
         console=address(str(console)) if console else None,
+        **(_peers(raw) if allow.get("peers") and raw.get("peer_listen") else {}),
         raw={key: value for key, value in raw.items() if key != "known"},
         folder=environ.get("TMPDIR", ""),
         attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -290,6 +290,7 @@
         self.lingering: dict[ClientLink, None] = {}  # told what was bad, and not gone yet
         self.duty = Duty()
         self._due: Timer | None = None  # of the next stage of duty
+        self.on_duty: Callable[[], None] = lambda: None  # told when the stage of duty changes
         self.stopped: bool = False
         self.heir: Callable[[socket.socket, bool], None] | None = None  # takes connections with nothing under way
         self.listener = listener
@@ -442,6 +443,7 @@
                 self._close_idle(link, Ending.STOPPING)
         if duty.is_closing:
             self.accepting.wake()
+        self.on_duty()
 
     def _tick(self) -> None:
         if self.duty.tick(self.clock.now()):
--- a/pipitledge/node/household.py
+++ b/pipitledge/node/household.py
@@ -13,7 +13,9 @@
 from pipitledge.node.handover import Estate
 from pipitledge.node.host_group import HostGroup
 from pipitledge.node.knowledge import inherited, learned_by
+from pipitledge.node.membership import Membership, settings_among
 from pipitledge.node.operations import Operations
+from pipitledge.node.peers import Peers
 from pipitledge.node.server_link import Pool
 from pipitledge.node.succession import Claim, Partner, Succession
 
@@ -26,21 +28,50 @@
         """Be told of each step of an upgrade from now on."""
         self.succession, self.front, self.group, self.pool, self.dispatch = succession, front, group, pool, dispatch
         self.operations, self.told = operations, told
+        self.peers: Peers | None = None
+        if told.peer_listen is not None and told.settings.instances > 1:
+            self.peers = Peers(front.scheduler, front.clock, front.counters, front.log, told.peer_listen, told.peers,
+                               told.peers_all, self._membership())
+            self.peers.changed, self.peers.serves, front.on_duty = self._put_in_force, self._serves, self.peers.beat
         succession.hand_over, succession.take_back = self._hand_over, self._take_back
         succession.alone, succession.over = self._alone, dispatch.elsewhere.difference_update
         succession.adopt, succession.do = front.adopt, self._do
 
     def adopt(self, told: Config) -> None:
         """Put another configuration in force, in one step: no query sees half of it."""
+        tier = self.told.settings.instances, self.told.settings.number
         self.told, names = told, told.names
-        self.dispatch.events.append(SettingsChanged(told.settings if self.succession.heir is None else
-                                                    replace(told.settings, overload_factor=0.0)))
-        self.dispatch.round()
+        if self.peers is not None and tier != (told.settings.instances, told.settings.number):
+            self.peers.membership = self._membership()
+        self._put_in_force()
         self.front.names, self.front.settings, self.group.names = names, told.settings, names
         self.pool.allow(told.dial_timeout_ms, told.idle_ms)
         self.share_out()
         self.group.move(told.discovery)
 
+    def _membership(self) -> Membership:
+        return Membership(self.told.settings.number, self.told.settings.instances)
+
+    def _serves(self) -> bool:
+        """What the other nodes are told: clients may use their connections on for a while."""
+        duty = self.front.duty
+        return duty.is_ready or (not duty.sheds and self.dispatch.open > 0)
+
+    def _put_in_force(self) -> None:
+        """Tell the module its settings: those told, among the nodes that are there."""
+        settings = self.told.settings
+        if self.peers is not None:
+            settings = settings_among(settings, self.peers.there)
+        if self.succession.heir is not None:  # cold workers' budgets are the heir's from now on
+            settings = replace(settings, overload_factor=0.0)
+        self.dispatch.events.append(SettingsChanged(settings))
+        self.dispatch.round()
+
+    def start(self) -> None:
+        """Begin to talk to the other nodes."""
+        if self.peers is not None:
+            self.peers.start()
+
     def inherit(self, claimed: Claim) -> None:
         """Go on from what the elder told."""
         estate, group = claimed.estate, self.group
@@ -69,14 +100,16 @@
         self.dispatch.over = self.succession.tell_over
         group, duty = self.group, self.front.duty
         learned = learned_by(self.dispatch.policy, self.told.names.numbers)
-        # The cold workers' budgets are the heir's from now on.
-        self.dispatch.events.append(SettingsChanged(replace(self.told.settings, overload_factor=0.0)))
+        self._put_in_force()
+        if self.peers is not None:
+            self.peers.stop()
         return Estate(group.version, list(group.raw.values()), group.out, group.cold_from, duty.lame_since_ms,
                       list(self.dispatch.queries), learned), self.front.listener.fileno()
 
     def _take_back(self) -> None:
         self.dispatch.over = lambda ids: None
-        self.dispatch.events.append(SettingsChanged(self.told.settings))
+        self._put_in_force()
+        self.start()
         self.front.take_back()
         self.share_out()
 
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -74,6 +74,7 @@
         lists = self.inflight, self.running, self.run_ms, self.per_hint, self.slots, self.kind_slowness
         for known, begin in zip(lists, self.settings.begin(SLOTS_START), strict=True):
             known.extend(begin[len(known):])
+        self._share_out()
 
     def _inherit(self, event: Inherited) -> None:
         """Go on from what another process of this scheduler has learned."""
--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -137,7 +137,8 @@
                                 "counters": self.counters, "log": self.log, "names": NAMES,
                                 "settings": SETTINGS, "most": 3, "most_held": 1 << 20, "held": 0,
                                 "links": set(), "idle": {}, "fresh": {},
-                                "lingering": {}, "duty": Duty(), "_due": None, "heir": None, "stopped": False}.items():
+                                "lingering": {}, "duty": Duty(), "_due": None, "heir": None, "on_duty": lambda: None,
+                                "stopped": False}.items():
                 setattr(self.front, name, value)
         ours, far = socket.socketpair()
         far.setblocking(False)
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,132 @@
+"""Nodes that tell each other whether they serve: the membership against a model, and the datagrams."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+from helpers import Driver, of
+from helpers import settings as module_settings
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from net_helper import Rig
+
+from pipitledge.interface import Send, SettingsChanged
+from pipitledge.node.membership import BEAT_MS, OUT, SERVES, SILENT_MS, Membership, settings_among
+from pipitledge.node.peers import Peers
+
+DERANDOMISED = hypothesis_settings(derandomize=True, deadline=None, max_examples=200, database=None)
+
+
+@pytest.fixture
+def rig(monkeypatch: pytest.MonkeyPatch) -> Iterator[Rig]:
+    made = Rig(monkeypatch)
+    yield made
+    made.close()
+    assert not made.crashes
+
+
+@DERANDOMISED
+@given(steps=st.lists(st.tuples(st.integers(-1, 4), st.sampled_from([SERVES, OUT, b"", b"pl9+"]),
+                                st.integers(0, 2_000)), max_size=20))
+def test_who_is_there_follows_its_model(steps: list[tuple[int, bytes, int]]) -> None:
+    membership, now = Membership(1, 4), 1_000
+    last: dict[int, tuple[bytes, int]] = {}
+    for number, said, wait in steps:
+        now += wait
+        valid = number in (0, 2, 3) and said in (SERVES, OUT)
+        assert membership.heard(number, said, now) == valid
+        if valid:
+            last[number] = said, now
+        there = [number for number in range(4) if number == 1 or number not in last
+                 or (last[number][0] == SERVES and now < last[number][1] + SILENT_MS)]
+        assert membership.there(now) == tuple(there)
+
+
+@pytest.mark.parametrize("there, number", [((0, 1, 2), 2), ((1, 2), 1), ((2,), 0)])
+def test_settings_among_those_there_keep_the_cold_budget_of_all(there: tuple[int, ...], number: int) -> None:
+    rules = module_settings(instances=3, number=2, overload_factor=3.0)
+    among = settings_among(rules, there)
+    assert (among.instances, among.number) == (len(there), number)
+    # Each takes a part of a worker as large as its arc: all three alone are no more than one whole.
+    assert sum(among.overload_factor / among.instances for _ in range(3)) == pytest.approx(3.0)
+
+
+def test_a_node_left_alone_places_on_the_whole_fleet_at_once() -> None:
+    rules = module_settings(instances=2, number=0, tells_start=True)
+    half, alone = (Driver(rules, workers=8) for _ in range(2))
+    alone.tell(SettingsChanged(settings_among(rules, (0,))))
+    sent = [len(of([action for number in range(64) for action in driver.job(f"j{number}")], Send))
+            for driver in (half, alone)]
+    assert sent == [16 + 8, 32]  # its arc and what it tries beyond; all slots
+
+
+class Pair:
+    """Two nodes' peers on loopback; each counts its changes."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.rig, self.serves, self.changes = rig, [True, True], [0, 0]
+        addresses = []
+        for _ in range(2):
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+                free.bind(("127.0.0.1", 0))
+                addresses.append(free.getsockname())
+        self.peers = [Peers(rig.scheduler, rig, rig.counters, rig.log, addresses[number],  # type: ignore[arg-type]
+                            addresses, None, Membership(number, 2)) for number in range(2)]
+        for number, peers in enumerate(self.peers):
+            peers.serves = lambda number=number: self.serves[number]  # type: ignore[misc]
+            peers.changed = lambda number=number: self.change(number)  # type: ignore[misc]
+            peers.start()
+            peers.start()
+        rig.settle()
+
+    def change(self, number: int) -> None:
+        self.changes[number] += 1
+
+    def close(self) -> None:
+        for peers in self.peers:
+            peers.stop()
+        self.rig.settle()
+
+
+def test_a_node_that_is_out_says_so_at_once_and_one_that_falls_silent_is_missed(rig: Rig) -> None:
+    pair = Pair(rig)
+    zero, one = pair.peers
+    assert zero.there == one.there == (0, 1) and rig.counters.counts["peer.heard"] == 2
+    pair.serves[1] = False
+    one.beat()
+    rig.settle()
+    assert zero.there == (0,) and one.there == (0, 1) and pair.changes == [1, 0]
+    pair.serves[1] = True
+    rig.settle(BEAT_MS)
+    assert zero.there == (0, 1)
+    one.stop()
+    rig.settle()
+    for _ in range(int(SILENT_MS / BEAT_MS)):
+        rig.settle(BEAT_MS)
+    assert zero.there == (0,)
+    one.start()  # started again
+    rig.settle()
+    assert zero.there == (0, 1) and pair.changes[0] == 4
+    pair.close()
+
+
+def test_strangers_and_rubbish_change_nothing(rig: Rig) -> None:
+    pair = Pair(rig)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
+        for said in (OUT, b"", b"x" * 60_000):
+            stranger.sendto(said, pair.peers[0].listen)
+    rig.settle()
+    assert pair.peers[0].there == (0, 1) and rig.counters.counts["peer.ignored"] == 3
+    pair.close()
+
+
+def test_without_its_socket_a_node_serves_as_one_that_hears_nobody(rig: Rig) -> None:
+    pair = Pair(rig)
+    other = Peers(rig.scheduler, rig, rig.counters, rig.log, pair.peers[0].listen,  # type: ignore[arg-type]
+                  [], None, Membership(0, 2))
+    other.start()
+    assert other.sock is None and other.there == (0, 1) and rig.logged[-1][0] == "peers"
+    pair.close()
