--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -74,6 +74,7 @@
     deadline_ms: float
     ended: bool = False
     abandoned: bool = False
+    noted: bool = False  # the worker has said that it runs
     wake: Callable[[], None] | None = None  # its server link's
 
 
@@ -165,6 +166,7 @@
     def noted(self, execution: Execution, fraction: float) -> None:
         """An execution started, or came so far."""
         if not execution.ended:
+            execution.noted = True
             self.events.append(api.AttemptNote(execution.query.arrival.job, execution.number,
                                                execution.worker, fraction))
 
--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -117,7 +117,8 @@
             execution.wake = None
             if ending not in (Ending.SERVED, Ending.HANDED_BACK):
                 self.pool.log("execution", ending=ending.value, worker=self.worker,
-                              query=execution.query.arrival.job, number=execution.number)
+                              query=execution.query.arrival.job, number=execution.number,
+                              noted=execution.noted, after_ms=round(self.pool.clock.now() - execution.sent_ms))
             self.pool.dispatch.ended(execution, ending, report, result)
 
     def _dial(self) -> Ending:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -11,7 +11,7 @@
 
 import pytest
 from click.testing import CliRunner
-from test_node import ROOT, Node, told
+from node_helper import ROOT, Node, told
 
 from pipitledge.cli.main import main
 from pipitledge.emulator import site
--- a/tests/test_ipp_jobs.py
+++ b/tests/test_ipp_jobs.py
@@ -13,7 +13,7 @@
 from hypothesis import given
 from hypothesis import settings as how
 from hypothesis import strategies as st
-from test_node import ROOT
+from node_helper import ROOT
 
 from pipitledge.ipp.jobs import MOST_ID, MOVES, NEVER_SENT, Jobs, Memory, Moved, PrintRecord, Store
 from pipitledge.ipp.model import FINISHED, JobState
