--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import traceback
+from typing import TYPE_CHECKING
 
 from pipitledge.net.scheduler import Scheduler
 from pipitledge.net.timers import Clock, Timers
@@ -26,6 +27,9 @@
 from pipitledge.node.succession import Succession, claim
 from pipitledge.policy import Policy
 
+if TYPE_CHECKING:  # a node that does not print must not pay for it
+    from pipitledge.ipp.node import PrintSide
+
 
 def main() -> int:
     """Run one node."""
@@ -53,8 +57,12 @@
             reload()
         else:
             front.stop()
+            if printing is not None:
+                printing.stop()
+                timers.at(front.duty.end_by_ms, scheduler.stop)
 
     told: config.Config
+    printing: PrintSide | None = None
 
     def reload() -> None:
         """Read the configuration again, and put it in force whole; one that can't be used leaves all as it is."""
@@ -123,18 +131,26 @@
     household.start()
     succession.offer()
     if told.printers:
-        from pipitledge.ipp.node import PrintSide
+        from pipitledge.ipp.node import PrintSide as Side
         try:
-            printing = PrintSide(told, scheduler, clock, counters, log)
+            printing = Side(told, scheduler, clock, counters, log)
         except (config.ConfigError, OSError) as fault:
             log("config", error=fault)
             return 2
 
+        prints = printing
+
         def both() -> None:
             dispatch.round()
-            printing.dispatch.round()
+            prints.dispatch.round()
+
+        def ended() -> None:
+            if front.stopped and prints.front.stopped:
+                scheduler.stop()
 
-        scheduler.after_round = both
+        scheduler.after_round, front.on_stopped, prints.front.on_stopped = both, ended, ended
+        household.reserved = prints.places
+        household.share_out()
 
     log("ready", name=told.name, listen="{}:{}".format(*told.listen), workers=len(group.addresses),
         clients=front.most, links=pool.most, claimed=claimed is not None)
--- a/pipitledge/ipp/front.py
+++ b/pipitledge/ipp/front.py
@@ -21,7 +21,7 @@
 from pipitledge.ipp.placement import Verdict
 from pipitledge.ipp.printer_link import PrintPassage
 from pipitledge.ipp.service import Service, Submission
-from pipitledge.net.scheduler import Scheduler, Wake
+from pipitledge.net.scheduler import Scheduler, Task, Wake
 from pipitledge.net.stream import ReceiveBuffer, Stream
 from pipitledge.net.timers import Clock
 from pipitledge.node.config import Address
@@ -37,12 +37,16 @@
     """Listens for IPP clients."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, service: Service, jobs: Jobs,
-                 counters: Counters, log: Log, listen: Address, patience_ms: float) -> None:
+                 counters: Counters, log: Log, listen: Address, patience_ms: float,
+                 most_links: int = MOST_LINKS) -> None:
         """Open the listener; a job has its answer within the patience."""
         self.scheduler, self.clock, self.dispatch, self.service, self.jobs = scheduler, clock, dispatch, service, jobs
         self.counters, self.log, self.patience_ms = counters, log, patience_ms
         self.queries: dict[int, tuple[Query, Callable[[], None]]] = {}  # by job: to be called off by Cancel-Job
-        self.links = 0
+        self.links, self.most_links = 0, most_links
+        self.waiting: dict[IppLink, Task] = {}  # connections on which nothing has come
+        self.stopping = False
+        self.on_stopped: Callable[[], None] = lambda: None
         service.on_cancel = self._cancelled
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -50,12 +54,33 @@
         self.listener.listen(256)
         self.listener.setblocking(False)
         self.address: Address = self.listener.getsockname()
-        scheduler.spawn(self._accept)
+        self.accepting = scheduler.spawn(self._accept)
+
+    def stop(self) -> None:
+        """Take nobody in any more, close who waits, and let the others have their answers."""
+        if not self.stopping:
+            self.stopping = True
+            self.accepting.wake()
+            for task in self.waiting.values():
+                task.wake()
+
+    @property
+    def stopped(self) -> bool:
+        """Whether a stop has come to its end."""
+        return self.stopping and not self.links and self.listener.fileno() < 0
+
+    def closed(self) -> None:
+        """Count a connection off."""
+        self.links -= 1
+        if self.stopped:
+            self.on_stopped()
 
     def _accept(self) -> None:
-        while True:
+        while not self.stopping:
             self.scheduler.wait(fd=self.listener.fileno())
-            while self.links < MOST_LINKS:
+            if self.stopping:
+                break
+            while self.links < self.most_links:
                 try:
                     sock, _ = self.listener.accept()
                 except OSError:
@@ -65,6 +90,10 @@
                 self.scheduler.spawn(link.run)
             else:  # those that wait are served as places come free
                 self.scheduler.wait(self.clock.now() + 20.0)
+        self.scheduler.forget(self.listener.fileno())
+        self.listener.close()
+        if self.stopped:
+            self.on_stopped()
 
     def _cancelled(self, number: int) -> None:
         if (known := self.queries.pop(number, None)) is not None:
@@ -91,7 +120,7 @@
             self.front.log("fault", where="ipp-front", trace=traceback.format_exc())
         finally:
             self.stream.close()
-            self.front.links -= 1
+            self.front.closed()
 
     def _plain(self, status: int, text: bytes) -> bool:
         reason = {400: b"Bad Request", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -110,7 +139,13 @@
             if not seen and len(buffer):
                 until = self.front.clock.now() + MESSAGE_MS
             seen = len(buffer)
-            if self.stream.readable(until) is Wake.TIMEOUT or self.stream.read() == 0:
+            if not seen and self.front.stopping:
+                return None
+            if not seen:
+                self.front.waiting[self] = self.front.scheduler.current()
+            why = self.stream.readable(until)
+            self.front.waiting.pop(self, None)
+            if why is Wake.TIMEOUT or (why is Wake.READY and self.stream.read() == 0):
                 return None
 
     def _one(self) -> bool:
@@ -153,7 +188,7 @@
         return self._answer(told, keeps and body.done)
 
     def _answer(self, message: Message, keeps: bool) -> bool:
-        data = encode(message)
+        data, keeps = encode(message), keeps and not self.front.stopping
         self.stream.write([b"HTTP/1.1 200 OK\r\nContent-Type: application/ipp\r\nContent-Length: %d\r\n%s\r\n" % (
             len(data), b"" if keeps else b"Connection: close\r\n"), data], self.front.clock.now() + WRITE_MS)
         if not keeps:
--- a/pipitledge/ipp/node.py
+++ b/pipitledge/ipp/node.py
@@ -13,7 +13,7 @@
 from pipitledge.interface import JobClass, Listing, Settings, State, Worker, WorkersChanged
 from pipitledge.ipp.codec import Group, Message
 from pipitledge.ipp.document import Document
-from pipitledge.ipp.front import IppFront
+from pipitledge.ipp.front import MOST_LINKS, IppFront
 from pipitledge.ipp.jobs import MAY_HAVE_PRINTED, Jobs, Memory, PrintRecord, Store
 from pipitledge.ipp.model import JobState, Op, PrinterState
 from pipitledge.ipp.placement import Verdict
@@ -91,7 +91,10 @@
         service = Service(uri, self.jobs, lambda: int(clock.now() / 1_000.0), self._accepting)
         for record in self.jobs.recover():
             scheduler.spawn(lambda record=record: self._recover(record))  # type: ignore[misc]
-        self.front = IppFront(scheduler, clock, self.dispatch, service, self.jobs, counters, log, listen, PATIENCE_MS)
+        most_links = min(MOST_LINKS, told.sockets // 8)
+        self.places = 2 * most_links + len(entries)  # clients, links to printers, polls
+        self.front = IppFront(scheduler, clock, self.dispatch, service, self.jobs, counters, log, listen, PATIENCE_MS,
+                              most_links)
         for name in self.entries:
             scheduler.spawn(lambda name=name: self._poll(name))  # type: ignore[misc]
         log("printing", listen=told.ipp_listen, printers=len(entries), jobs=len(self.jobs.records),
@@ -110,7 +113,12 @@
         return entries
 
     def _accepting(self) -> bool:
-        return State.SERVING in self.printers.states.values()
+        return State.SERVING in self.printers.states.values() and not self.front.stopping
+
+    def stop(self) -> None:
+        """SIGTERM: take no job more, and answer those that are under way."""
+        self.log("printing", stopping=True, open=self.dispatch.open, clients=self.front.links)
+        self.front.stop()
 
     def _poll(self, name: str) -> None:
         """Ask one printer how it is, for good."""
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -306,6 +306,7 @@
         self._due: Timer | None = None  # of the next stage of duty
         self.on_duty: Callable[[], None] = lambda: None  # told when the stage of duty changes
         self.stopped: bool = False
+        self.on_stopped: Callable[[], None] = scheduler.stop
         self.heir: Callable[[socket.socket, bool], None] | None = None  # takes connections with nothing under way
         self.listener = listener
         self.accepting = scheduler.spawn(self._accept)
@@ -470,4 +471,4 @@
     def _check_stopped(self) -> None:
         if self.duty.is_closing and self.listener.fileno() < 0 and not self.links:
             self.stopped = True
-            self.scheduler.stop()
+            self.on_stopped()
--- a/pipitledge/node/household.py
+++ b/pipitledge/node/household.py
@@ -28,6 +28,7 @@
         """Be told of each step of an upgrade from now on."""
         self.succession, self.front, self.group, self.pool, self.dispatch = succession, front, group, pool, dispatch
         self.operations, self.told = operations, told
+        self.reserved = 0  # descriptors of the print side
         self.peers: Peers | None = None
         if told.peer_listen is not None and told.settings.instances > 1:
             self.peers = Peers(front.scheduler, front.clock, front.counters, front.log, told.peer_listen, told.peers,
@@ -90,7 +91,7 @@
     def share_out(self) -> None:
         """Use all of the limits alone, and half of them while another process of this node runs."""
         parts = 2 if self.succession.is_shared else 1
-        self.front.most, links = budget(self.told.sockets // parts)
+        self.front.most, links = budget((self.told.sockets - self.reserved) // parts)
         self.front.most_held = bodies(self.told.memory_mb // parts)
         self.pool.limit(links)
 
--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -138,6 +138,7 @@
                                 "settings": SETTINGS, "most": 3, "most_held": 1 << 20, "held": 0,
                                 "links": set(), "idle": {}, "fresh": {}, "partial": {},
                                 "lingering": {}, "duty": Duty(), "_due": None, "heir": None, "on_duty": lambda: None,
+                                "on_stopped": lambda: None,
                                 "stopped": False}.items():
                 setattr(self.front, name, value)
         ours, far = socket.socketpair()
--- a/tests/test_ipp_sockets.py
+++ b/tests/test_ipp_sockets.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+import socket
 from collections import Counter
 from collections.abc import Iterator
 from typing import Any
@@ -243,3 +244,31 @@
     assert shop.breaches(records) == [], shop.log.read_text()[-3_000:]
     states = Counter(record.state for record in records)
     assert states[JobState.COMPLETED] > 20 and sum(shop.ledger.values()) >= states[JobState.COMPLETED]
+
+
+def test_at_a_stop_jobs_under_way_are_answered_and_nobody_else_is_taken_in() -> None:
+    """The print side went on as if nothing were, and jobs under way went with the node."""
+    shop, ended = Shop(printers=1, print_ms=300.0), list[bool]()
+    shop.front.on_stopped = lambda: ended.append(True)
+    answers: list[Message | None] = []
+    idle = socket.create_connection(shop.front.address)
+
+    def task() -> None:
+        shop.scheduler.spawn(lambda: answers.append(shop.ask(Op.PRINT_JOB, document=LABEL)))
+        while not shop.jobs.records:
+            shop.scheduler.wait(shop.clock.now() + 5.0)
+        shop.front.stop()
+        shop.front.stop()
+        shop.scheduler.wait(shop.clock.now() + 20.0)
+        assert not ended and not answers and shop.front.links == 1  # the one with the job
+        while not ended:
+            shop.scheduler.wait(shop.clock.now() + 20.0)
+
+    shop.run(task)
+    [answer] = answers
+    assert answer is not None and answer.first(Group.JOB, "job-state") == JobState.COMPLETED
+    assert ended == [True] and shop.front.stopped and not shop.dispatch.open
+    with idle:
+        assert idle.recv(1) == b""
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(shop.front.address)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 import socket
 
 import pytest
-from node_helper import Node, told
+from node_helper import READY, Node, free_port, told
 
 from pipitledge.node import config
 from pipitledge.node.budget import BASE, bodies, budget
@@ -87,3 +87,17 @@
             assert client.recv(4_096).startswith(b"HTTP/1.1 503")  # the query that was open all the time
             rest = node.rest()
         assert node.process.wait() == 0 and '"config.kept":7' in rest and '"watch.watch-refused"' not in rest
+
+
+def test_a_node_that_prints_shares_its_descriptors_and_ends_when_both_sides_have(tmp_path: pathlib.Path) -> None:
+    printers = tmp_path / "printers.conf"
+    printers.write_text("printer label\n    uri ipp://127.0.0.1:9/ipp/print\n")
+    with Node(tmp_path, printers=str(printers), ipp_listen=f"127.0.0.1:{free_port()}",
+              limits={"cores": 1.0, "memory_mb": 192, "sockets": 256}) as node, node.client() as client:
+        # 65 of 256 are the print side's: 32 clients, as many links, one poll
+        assert "clients={} links={}".format(*budget(256 - 65)) in node.first
+        client.sendall(READY)
+        assert client.recv(4_096).startswith(b"HTTP/1.1 200 OK")
+        node.signal(signal.SIGTERM)
+        rest = node.rest()
+        assert node.process.wait() == 0 and "printing stopping=True open=0" in rest and "stopped open=0" in rest
