--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 import pytest
+from hypothesis import settings
 
 from pipitledge.interface import Action, Event, JobClass, Repeat, Settings
 from pipitledge.net.scheduler import Scheduler
@@ -23,6 +24,7 @@
 from pipitledge.node.host_group import HostGroup
 from pipitledge.node.server_link import Passage, Pool
 
+DERANDOMISED = settings(derandomize=True, deadline=None, max_examples=100, database=None)
 NAMES = Names({b"menu-plan": 0, b"slot-book": 1}, {b"hverdag": 0, b"familie": 1}, {"aarhus-1": 0},
               {"fast-4": 0, "slow-5": 1})
 SETTINGS = Settings(classes=(JobClass(repeat=Repeat.SAFE, deadline_ms=5_000), JobClass(deadline_ms=5_000)),
