--- a/pipitledge/node/signals.py
+++ b/pipitledge/node/signals.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import os
 import signal
-import socket
 from collections.abc import Callable, Iterable
 
 from pipitledge.net.scheduler import Scheduler
@@ -13,32 +13,38 @@
     """Turns signals into calls of `take`, in a task of their own.
 
     A handler alone would run, and the poll would go back to waiting: the interpreter therefore writes each
-    signal's number to a socket. Both ends have to be kept here. When the writing end was a mere local it was
+    signal's number to a pipe. Both ends have to be kept here. When the writing end was a mere local it was
     collected, the other end stood at its end for good, and the node spun on it and was deaf to SIGTERM.
+    A pipe and not a socket pair: the latter is a Unix socket, which a node's process may be refused.
     """
 
     def __init__(self, scheduler: Scheduler, numbers: Iterable[int], take: Callable[[int], None]) -> None:
         """Catch these signals from now on."""
         self.scheduler, self.take = scheduler, take
-        self.ours, self.wakes = socket.socketpair()
-        self.ours.setblocking(False)
-        self.wakes.setblocking(False)
-        signal.set_wakeup_fd(self.wakes.fileno(), warn_on_full_buffer=False)
+        self.ours, self.wakes = os.pipe()
+        os.set_blocking(self.ours, False)
+        os.set_blocking(self.wakes, False)
+        signal.set_wakeup_fd(self.wakes, warn_on_full_buffer=False)
         for number in numbers:
             signal.signal(number, lambda *_: None)
         scheduler.spawn(self._listen)
 
     def _listen(self) -> None:
         while True:
-            self.scheduler.wait(fd=self.ours.fileno())
+            self.scheduler.wait(fd=self.ours)
             try:
-                numbers = self.ours.recv(64)
+                numbers = os.read(self.ours, 64)
             except BlockingIOError:
                 continue
             if not numbers:
-                raise RuntimeError("signal socket closed")  # waiting on would spin
+                raise RuntimeError("signal pipe closed")  # waiting on would spin
             for number in numbers:
                 try:
                     self.take(number)
                 except Exception as fault:  # whatever one signal leads to, the next must be heard
                     self.scheduler.crashed(fault)
+
+    def close(self) -> None:
+        """Let go of both ends; the caller has put the interpreter's wakeup descriptor back."""
+        os.close(self.ours)
+        os.close(self.wakes)
--- a/pipitledge/node/succession.py
+++ b/pipitledge/node/succession.py
@@ -266,7 +266,11 @@
         if not self.folder or self._door is not None:
             return
         folder, name = _place(self.folder, self.listen)
-        door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        try:  # a process may be refused Unix sockets: it serves on, without upgrades in place
+            door = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        except OSError as fault:
+            self.log("upgrade", impossible=fault)
+            return
         try:
             with _At(folder) as at, contextlib.suppress(FileNotFoundError):
                 new = f"{name}.{os.getpid()}"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -133,7 +133,7 @@
     assert {type(crash) for crash in rig.crashes} == {ZeroDivisionError, IndexError}
 
 
-def test_signals_keep_both_ends_of_their_socket(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_signals_keep_both_ends_of_their_pipe(monkeypatch: pytest.MonkeyPatch) -> None:
     """The writing end was once collected: the node spun on the other end and missed every signal."""
     rig, taken = Rig(monkeypatch), list[int]()
     before = signal.getsignal(signal.SIGUSR1)
@@ -147,8 +147,7 @@
     finally:
         signal.set_wakeup_fd(-1)
         signal.signal(signal.SIGUSR1, before)
-        signals.ours.close()
-        signals.wakes.close()
+        signals.close()
 
 
 def test_a_task_whose_descriptor_was_closed_does_not_deafen_the_next_one(monkeypatch: pytest.MonkeyPatch) -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -76,6 +76,29 @@
         assert claim(folder, ("127.0.0.1", 1), Log(Counters())) is None
 
 
+def test_a_process_refused_unix_sockets_serves_on_without_upgrades(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where a process may open TCP and UDP alone, the door for an heir was opened outside the guard: a crash."""
+    from pipitledge.net.scheduler import Scheduler
+    from pipitledge.net.timers import Timers
+    from pipitledge.node.succession import Succession
+    real = socket.socket
+
+    def refusing(family: int = socket.AF_INET, *rest: object, **named: object) -> socket.socket:
+        if family == socket.AF_UNIX:
+            raise OSError(38, "Function not implemented")
+        return real(family, *rest, **named)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(socket, "socket", refusing)
+    counters, said = Counters(), list[tuple[str, dict[str, object]]]()
+    with tempfile.TemporaryDirectory() as folder:
+        assert claim(folder, ("127.0.0.1", 1), Log(counters)) is None
+        timers = Timers(lambda: 0.0)
+        succession = Succession(Scheduler(timers, lambda fault: None), None, counters,  # type: ignore[arg-type]
+                                lambda what, **fields: said.append((what, fields)), folder, ("127.0.0.1", 1))
+        succession.offer()
+        assert succession._door is None and said and "impossible" in said[-1][1]
+
+
 # ---- two processes
 
 
