Test that a tenant gets its reserved share after another has borrowed all the room

Ablation: with _reserved returning 0 every test passed; the old test sent one job of the other tenant, which the sliver rule admits anyway. The new test admits five within the share and fails with the ablation.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -60,6 +60,15 @@
     assert not of(driver.job("other", tenant=1), Refuse)
 
 
+def test_a_tenant_within_its_reserved_share_is_admitted_after_another_has_borrowed_all() -> None:
+    """One job alone passes by the sliver rule: only many show the reservation, which no test did."""
+    driver = Driver(workers=10)
+    driver.learn_slots(8)
+    flood(driver, 0, 500)
+    late = [driver.job(f"other-{index}", tenant=1) for index in range(5)]  # its share less a deviation
+    assert not [action for actions in late for action in of(actions, Refuse)]
+
+
 def test_one_job_of_an_idle_tenant_passes_however_small_its_share() -> None:
     driver = Driver(settings(tenants=(Tenant(0.99), Tenant(0.01)), instances=150), workers=3)
     flood(driver, 0, 200)
