Count answers by tenant and failures by reason, so an overload shows who got what

Need: after tenants hit their limits, the counters said how many were refused, not whose nor why a query failed. Change: tenant.<n>.taken and tenant.<n>.<answer> in Dispatch, answer.failure.<reason>; names stay bounded by the configuration's tenants and this file's reasons. The new test fails before the change.

--- a/pipitledge/node/dispatch.py
+++ b/pipitledge/node/dispatch.py
@@ -125,6 +125,7 @@
         self.queries[arrival.job] = query
         self.open += 1
         self.counters.add("query.taken")
+        self.counters.add(f"tenant.{arrival.tenant}.taken")
         self.events.append(arrival)
         return query
 
@@ -266,7 +267,15 @@
     # ---- answers
 
     def _answer(self, query: Query, answer: Answer) -> None:
-        self.counters.add(f"answer.{type(answer).__name__.lower()}")
+        """Count who got what, and why a failure came: after an overload that is what operators ask.
+
+        Tenants are the configuration's and reasons are this file's: the names of counters stay few.
+        """
+        kind = type(answer).__name__.lower()
+        self.counters.add(f"answer.{kind}")
+        self.counters.add(f"tenant.{query.arrival.tenant}.{kind}")
+        if isinstance(answer, Failure):
+            self.counters.add(f"answer.failure.{answer.reason.replace(' ', '-')}")
         self._close(query)
         query.reply(answer)
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -17,6 +17,7 @@
     JobRecord,
     Later,
     Result,
+    Refuse,
     Send,
     SetTimer,
     TimerFired,
@@ -149,3 +150,17 @@
         assert later.put(job, 1.0).job == job.event.job
         job.open = False
     assert len(later) <= 256
+
+
+def test_after_an_overload_counters_show_by_tenant_who_was_taken_refused_served_and_why_one_failed(rig: Rig) -> None:
+    rig.script.on_event = lambda event: (  # type: ignore[assignment]
+        [Refuse(event.job) if event.tenant else Send(event.job, "w0")] if isinstance(event, JobArrived) else [])
+    for number in range(30):
+        rig.query(f"q{number}", tenant=number % 2, patience_ms=400.0)
+    rig.settle()
+    rig.dispatch.ended(rig.held.started[0], Ending.SERVED, None, b"ok")  # type: ignore[attr-defined]
+    rig.settle(500.0)
+    counts = rig.counters.counts
+    assert (counts["tenant.0.taken"], counts["tenant.1.taken"], counts["tenant.1.throttle"]) == (15, 15, 15)
+    assert (counts["tenant.0.served"], counts["tenant.0.failure"], counts["answer.failure.overdue"]) == (1, 14, 14)
+    assert not any(name.startswith("tenant.1.") and name.endswith(("served", "failure")) for name in counts)
