Tell clients shed at the door the settings' longest heeded wait, not a fixed second

Tuned number: BUSY_RETRY_S was 1 s in every deployment, while the module's refusals use the settings' max_retry_after_ms. Now the door says the same where retry_after is on, 1 s where the settings name none.

--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -37,7 +37,14 @@
 ACCEPT_AGAIN_MS = 20.0  # without a descriptor to spare
 SPARE = 16  # connections over the budget that are told to come back, where nobody idle can be closed
 AT_ONCE = 12  # accepted in a round: who makes room for them closes in the next, and the tasks need their turn
-BUSY_RETRY_S = b"1"
+BUSY_RETRY_S = b"1"  # where the settings name no longest wait that clients heed
+
+
+def busy_advice(settings: Settings) -> list[bytes]:
+    """Retry-After for a client turned away at the door: the settings' longest heeded wait, as the module's own."""
+    if settings.retry_after and settings.max_retry_after_ms > 0:
+        return [b"Retry-After: %.3f" % (settings.max_retry_after_ms / 1000.0)]
+    return [b"Retry-After: " + BUSY_RETRY_S]
 MAX_PATIENCE_MS = 600_000.0
 BUFFER = 20 * 1024  # a whole head and a little more; bodies are taken out as they come
 
@@ -154,7 +161,7 @@
                 self.front.counters.add(f"answer.bad-request.{fault.status}")
                 self.front.log("bad-request", status=fault.status, why=fault.reason)
                 # Closed even where the framing is sure: who sends such things must not hold a place.
-                advice = [b"Retry-After: " + BUSY_RETRY_S] if fault.status == 503 else []
+                advice = busy_advice(self.front.settings) if fault.status == 503 else []
                 self._write(self.side.answer(fault.status, fault.reason.encode(), advice, close=True))
                 return Ending.BAD_REQUEST
             if parts is None:
@@ -243,7 +250,7 @@
             arrival = arrival._replace(plan=plan)
         if self.over_budget:
             front.counters.add("answer.over-budget")
-            return self.side.answer(503, b"no room", [b"Retry-After: " + BUSY_RETRY_S], close=True)
+            return self.side.answer(503, b"no room", busy_advice(front.settings), close=True)
         passage = Passage(request.method, request.target, request.get(b"host"), request.get(b"request-id"),
                           request.get(b"idempotency-key"), request.body)
         self.answer = None
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -589,3 +589,12 @@
     rig.query("a")
     rig.settle()
     assert [type(answer).__name__ for answer in rig.answers["a"]] == ["Throttle"]
+
+
+def test_who_is_turned_away_at_the_door_is_told_the_settings_longest_heeded_wait() -> None:
+    """It was a fixed second, whatever the settings said the module itself tells refused clients."""
+    from helpers import settings
+
+    from pipitledge.node.front import busy_advice
+    assert busy_advice(settings(retry_after=True, max_retry_after_ms=2_500.0)) == [b"Retry-After: 2.500"]
+    assert busy_advice(settings()) == [b"Retry-After: 1"]
