--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -164,3 +164,17 @@
     assert (counts["tenant.0.taken"], counts["tenant.1.taken"], counts["tenant.1.throttle"]) == (15, 15, 15)
     assert (counts["tenant.0.served"], counts["tenant.0.failure"], counts["answer.failure.overdue"]) == (1, 14, 14)
     assert not any(name.startswith("tenant.1.") and name.endswith(("served", "failure")) for name in counts)
+
+
+def test_a_flood_of_one_event_writes_a_bounded_number_of_lines_and_counts_the_rest(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """Under overload the log must not add to the trouble: so many lines a second of one event, the rest counted."""
+    from pipitledge.node import counters as module
+    monkeypatch.setattr(module.time, "time", lambda: 1_000.5)
+    written, counts = list[str](), module.Counters()
+    log = module.Log(counts, lambda now, event, fields: written.append(event))
+    for _ in range(10_000):
+        log("execution", ending="out-of-time")
+    log("list", kind="full")
+    assert written.count("execution") == module.Log.PER_SECOND and written[-1] == "list"
+    assert counts.counts["log.left-out.execution"] == 10_000 - module.Log.PER_SECOND
