--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from helpers import SAFE, UNSAFE, Driver, keyed, settings
+from helpers import SAFE, UNSAFE, Driver, keyed, of, settings
 from hypothesis import given
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
@@ -152,3 +152,37 @@
         checked.end(0, 0)
     assert sum(policy.inflight) == sum(policy.running) == policy.spill_out == 0 and not policy.jobs
     assert all(worker.slots_out == 0 for worker in policy.workers.values())
+
+
+COLD = {"cold_share": 0.1, "cold_ms": 22_000.0, "overload_factor": 3.0, "fall_ms": 2_000.0}
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=60)
+@given(gaps=st.lists(st.integers(0, 40), min_size=50, max_size=400), warm=st.integers(1, 5),
+       slots=st.integers(2, 8), instances=st.integers(1, 8), seed=st.integers(0, 99))
+def test_a_cold_worker_never_gets_more_than_its_budget_in_any_window(
+        gaps: list[int], warm: int, slots: int, instances: int, seed: int) -> None:
+    """Rule 4 of WIRE: work sent to a cold worker over any fall_ms stays under factor x its least capacity x fall_ms.
+
+    Its least capacity is cold_share of a warm one's; this scheduler's share of the budget is 1/instances.
+    Jobs take run_ms each and end when they are done, so the work a send brings is slots x run_ms.
+    """
+    use = settings(classes=(SAFE,), instances=instances, number=0, **COLD)
+    driver = Driver(use, workers=warm, seed=seed)
+    driver.learn_slots(float(slots), 5)
+    run_ms = driver.policy.run_ms[0]
+    driver.list([Worker("cold", started_ms=driver.now)], Listing.DELTA)
+    sent, running = list[float](), list[tuple[float, Send]]()
+    for number, gap in enumerate(gaps):
+        driver.tell(TimerFired(0), after_ms=float(gap))
+        for at, send in [(at, send) for at, send in running if at <= driver.now]:
+            running.remove((at, send))
+            driver.end(send, Result.OK, after_ms=0.0)
+        for send in of(driver.job(f"j{number}", patience_ms=2_000.0), Send):
+            running.append((driver.now + run_ms, send))
+            if send.worker == "cold":
+                sent.append(driver.now)
+    most = COLD["overload_factor"] * COLD["cold_share"] * slots * COLD["fall_ms"] / instances
+    for start in sent:
+        window = [at for at in sent if start <= at < start + COLD["fall_ms"]]
+        assert len(window) * run_ms <= most + run_ms, (len(window), run_ms, most)
