Accept clients and operators' callers by one loop in net/stream.py

Front and console each had the same accept loop, with the same list of errors that mean no descriptor is left. accept_some takes the room, what to do with a socket and what to do when starved; the front's test of EMFILE now covers both.

--- a/pipitledge/net/stream.py
+++ b/pipitledge/net/stream.py
@@ -3,14 +3,38 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from pipitledge.net.scheduler import WRITE, Scheduler, Wake
 
 Part = bytes | memoryview
 _DROPPED = bytearray(64 * 1024)  # written over and never read
 AT_ONCE = 64  # parts handed to one sendmsg; far under the system's limit of 1,024
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def accept_some(listener: socket.socket, most: int, room: Callable[[], bool], take: Callable[[socket.socket], None],
+                starved: Callable[[int], None]) -> bool:
+    """Accept up to `most` of those that wait while `room` allows; False where room or a descriptor is lacking.
+
+    Any other fault is of one client, gone before it was taken: the next is tried.
+    """
+    for _ in range(most):
+        if not room():
+            return False
+        try:
+            sock, _ = listener.accept()
+        except BlockingIOError:
+            return True
+        except OSError as fault:
+            if fault.errno in NO_DESCRIPTOR:
+                starved(fault.errno)
+                return False
+            continue
+        take(sock)
+    return True
 
 
 class ReceiveBuffer:
--- a/pipitledge/node/console.py
+++ b/pipitledge/node/console.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import re
 import socket
 from collections.abc import Callable
@@ -11,7 +10,7 @@
 from enum import Enum
 
 from pipitledge.net.scheduler import Scheduler, Wake
-from pipitledge.net.stream import ReceiveBuffer, Stream
+from pipitledge.net.stream import ReceiveBuffer, Stream, accept_some
 from pipitledge.net.timers import Clock
 from pipitledge.node.config import Address
 from pipitledge.node.counters import Counters, Log
@@ -132,20 +131,11 @@
 
     def _accept_all(self) -> bool:
         """Accept one caller for each place; False where no descriptor or no place is to be had just now."""
-        for _ in range(PLACES):
-            if len(self.callers) >= PLACES and not self._make_room():
-                return False
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return True
-            except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.counters.add("console.no-descriptor")
-                    return False
-                continue
-            self.callers[Caller(self, sock)] = None
-        return True
+        return accept_some(self.listener, PLACES, lambda: len(self.callers) < PLACES or self._make_room(),
+                           self._took, lambda _: self.counters.add("console.no-descriptor"))
+
+    def _took(self, sock: socket.socket) -> None:
+        self.callers[Caller(self, sock)] = None
 
     def _make_room(self) -> bool:
         """Close the caller who has been longest without a whole line; one that waits for its answer stays."""
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import contextlib
-import errno
 import math
 import re
 import socket
@@ -17,7 +16,7 @@
 from pipitledge.http1.heads import BadMessage
 from pipitledge.interface import UNLIMITED, JobArrived, Repeat, Settings
 from pipitledge.net.scheduler import Scheduler, Wake
-from pipitledge.net.stream import Part, ReceiveBuffer, Stream
+from pipitledge.net.stream import Part, ReceiveBuffer, Stream, accept_some
 from pipitledge.net.timers import Clock, Timer
 from pipitledge.node.config import Address, Names
 from pipitledge.node.counters import Counters, Log
@@ -342,23 +341,17 @@
 
     def _accept_all(self, most: int = AT_ONCE) -> bool:
         """Accept some of those that wait; False if there is no room for more just now."""
-        for _ in range(most):
-            if len(self.links) >= self.most + SPARE and not self._shed():
-                return False
-            try:
-                sock, _ = self.listener.accept()
-            except BlockingIOError:
-                return True
-            except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                    self.counters.add("front.no-descriptor")
-                    self.log("no-descriptor", clients=len(self.links), error=fault.errno)
-                    self._shed()
-                    return False
-                continue  # the client was gone before we took it
-            self.counters.add("client.accepted")
-            self._link(sock, False)
-        return True
+        return accept_some(self.listener, most, lambda: len(self.links) < self.most + SPARE or self._shed(),
+                           self._accepted, self._starved)
+
+    def _accepted(self, sock: socket.socket) -> None:
+        self.counters.add("client.accepted")
+        self._link(sock, False)
+
+    def _starved(self, number: int) -> None:
+        self.counters.add("front.no-descriptor")
+        self.log("no-descriptor", clients=len(self.links), error=number)
+        self._shed()
 
     def _link(self, sock: socket.socket, used: bool) -> None:
         over = len(self.links) >= self.most and not self._shed()  # only now: somebody did come
