--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -10,19 +10,9 @@
 from hypothesis import strategies as st
 from net_helper import DERANDOMISED, Rig, read
 
+from pipitledge.node import duty as times
 from pipitledge.node.console import LINE_MS, MOST_LINE, PLACES, BadCall, Call, CallSide, Console, Verb, read_call
-from pipitledge.node.duty import (
-    KILL_AFTER_MS,
-    KILL_LONGEST_MS,
-    LAME,
-    LAST_MS,
-    SHED_END_MS,
-    SHED_MS,
-    SPARE_MS,
-    STOPS,
-    Duty,
-    Stage,
-)
+from pipitledge.node.duty import LAME, SHED_END_MS, SHED_MS, STOPS, Duty, Stage
 
 
 def called(side: CallSide, parts: list[bytes]) -> Call | str | None:
@@ -151,7 +141,7 @@
                       max_size=12))
 def test_any_order_of_calls_and_signals_leads_to_what_its_model_says(steps: list[tuple[str, int]]) -> None:
     duty, now = Duty(), 1_000.0
-    kill = min(5_000.0, KILL_LONGEST_MS) + KILL_AFTER_MS  # the earliest SIGKILL after SIGTERM, by the protocol
+    kill = min(5_000.0, times.KILL_LONGEST_MS) + times.KILL_AFTER_MS  # the earliest SIGKILL, by the protocol
     lame_at: float | None = None
     stop_at: float | None = None
     for step, wait in steps:
@@ -170,9 +160,10 @@
             stop_at = now if news else stop_at
         assert duty.is_ready == (duty.stage is Stage.SERVING) == (lame_at is None and stop_at is None)
         assert (duty.stage in STOPS) == (stop_at is not None)
-        assert duty.is_closing == (stop_at is not None and now >= stop_at + kill - LAST_MS)
+        assert duty.is_closing == (stop_at is not None and now >= stop_at + kill - times.LAST_MS)
         if stop_at is not None:
-            assert duty.end_by_ms == stop_at + kill - SPARE_MS and duty.sheds == (duty.is_closing or lame_at is not None)
+            assert duty.end_by_ms == stop_at + kill - times.SPARE_MS
+            assert duty.sheds == (duty.is_closing or lame_at is not None)
         elif lame_at is not None:
             assert duty.stage in LAME and duty.sheds == (now >= lame_at + SHED_MS)
             assert not duty.sheds or duty.end_by_ms == lame_at + SHED_END_MS
