--- a/tests/node_helper.py
+++ b/tests/node_helper.py
@@ -71,6 +71,17 @@
     def client(self) -> socket.socket:
         return socket.create_connection(("127.0.0.1", self.port), 10.0)
 
+    def ready(self) -> bytes:
+        """The answer to /-/ready on a new connection."""
+        with self.client() as sock:
+            return exchange(sock, READY)
+
+    def door(self) -> socket.socket:
+        """A connection to the place where an heir claims this node's process."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock.connect(f"{self.tmp.name}/pipitledge-127.0.0.1-{self.port}.sock")
+        return sock
+
     def call(self, line: str) -> str:
         """An operator's call and its answer."""
         with socket.create_connection(("127.0.0.1", self.console_port), 10.0) as sock:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import pathlib
@@ -13,12 +14,12 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from net_helper import DERANDOMISED, END, HEAD, line
+from net_helper import DERANDOMISED, END, HEAD, Rig, line
 from node_helper import READY, STATED, Node, exchange, job
 
 from pipitledge.node.counters import Counters, Log
 from pipitledge.node.handover import PART, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
-from pipitledge.node.succession import claim
+from pipitledge.node.succession import Succession, claim
 
 ROWS = [{"uid": f"s-{number}", "endpoint": "127.0.0.1:1", "az": "aarhus-1", "model": "fast-4", "pod_group": 0,
          "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0} for number in range(3)]
@@ -76,27 +77,16 @@
         assert claim(folder, ("127.0.0.1", 1), Log(Counters())) is None
 
 
-def test_a_process_refused_unix_sockets_serves_on_without_upgrades(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_process_refused_unix_sockets_serves_on_without_upgrades(rig: Rig, monkeypatch: pytest.MonkeyPatch) -> None:
     """Where a process may open TCP and UDP alone, the door for an heir was opened outside the guard: a crash."""
-    from pipitledge.net.scheduler import Scheduler
-    from pipitledge.net.timers import Timers
-    from pipitledge.node.succession import Succession
-    real = socket.socket
-
-    def refusing(family: int = socket.AF_INET, *rest: object, **named: object) -> socket.socket:
-        if family == socket.AF_UNIX:
-            raise OSError(38, "Function not implemented")
-        return real(family, *rest, **named)  # type: ignore[arg-type]
-
-    monkeypatch.setattr(socket, "socket", refusing)
-    counters, said = Counters(), list[tuple[str, dict[str, object]]]()
+    def refused(*_: object) -> socket.socket:
+        raise OSError(errno.ENOSYS, "no Unix sockets here")
+    monkeypatch.setattr(socket, "socket", refused)
     with tempfile.TemporaryDirectory() as folder:
-        assert claim(folder, ("127.0.0.1", 1), Log(counters)) is None
-        timers = Timers(lambda: 0.0)
-        succession = Succession(Scheduler(timers, lambda fault: None), None, counters,  # type: ignore[arg-type]
-                                lambda what, **fields: said.append((what, fields)), folder, ("127.0.0.1", 1))
+        assert claim(folder, ("127.0.0.1", 1), rig.log) is None  # type: ignore[arg-type]
+        succession = Succession(rig.scheduler, rig, rig.counters, rig.log, folder, ("127.0.0.1", 1))  # type: ignore
         succession.offer()
-        assert succession._door is None and said and "impossible" in said[-1][1]
+        assert succession._door is None and rig.logged[-1][0] == "upgrade" and "impossible" in rig.logged[-1][1]
 
 
 # ---- two processes
@@ -128,8 +118,7 @@
                 elder.signal(signal.SIGTERM)
                 elder.until("stage=closing")
                 assert b" 200 " in exchange(idle, READY)  # on the connection that the elder accepted
-                with heir.client() as late:
-                    assert b" 200 " in exchange(late, READY)
+                assert b" 200 " in heir.ready()
                 link.sendall(HEAD + line("done", result="planned") + END)
                 assert busy.recv(4_096).endswith(b"planned")
                 assert elder.process.wait(10) == 0 and '"client.passed-on":' in elder.rest()
@@ -146,23 +135,19 @@
     with heir_of(elder, tmp_path) as heir:
         assert heir.call("ATTACH s-0") == "+OK" and heir.call("DETACH s-1") == "+OK"
         assert elder.call("DETACH s-2") == "+OK" and elder.call("LAMEDUCK") == "+OK"
-        with heir.client() as client:
-            assert b" 503 " in exchange(client, READY)
+        assert b" 503 " in heir.ready()
         assert heir.call("REJOIN") == "+OK"
-        with heir.client() as client:
-            assert b" 200 " in exchange(client, READY)
+        assert b" 200 " in heir.ready()
         assert heir.call("LAMEDUCK") == "+OK"
         elder.signal(signal.SIGTERM)
         assert elder.process.wait(10) == 0
         heir.until("ended=elder")
         with Node(tmp_path, beside=heir, settings=PATIENT) as third:  # an upgrade after an upgrade
-            with third.client() as client:
-                assert b" 503 " in exchange(client, READY)
+            assert b" 503 " in third.ready()
             assert third.call("REJOIN") == "+OK"
             heir.process.kill()
             third.until("ended=elder")
-            with third.client() as client:
-                assert b" 200 " in exchange(client, READY)
+            assert b" 200 " in third.ready()
             assert third.call("ATTACH s-1") == third.call("ATTACH s-2") == "+OK"
 
 
@@ -174,39 +159,33 @@
             heir.process.kill()
             elder.until("ended=heir")
             assert b" 200 " in exchange(waiting, READY) or not waiting.recv(1)
-        with elder.client() as again:
-            assert b" 200 " in exchange(again, READY)
+        assert b" 200 " in elder.ready()
     with heir_of(elder, tmp_path) as heir:
         elder.signal(signal.SIGTERM)
         assert elder.process.wait(10) == 0
-        with heir.client() as client:
-            assert b" 200 " in exchange(client, READY)
+        assert b" 200 " in heir.ready()
 
 
 def test_a_third_process_is_refused_while_the_second_takes_over(elder: Node, tmp_path: pathlib.Path) -> None:
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as slow:  # an heir that has claimed and does not go on
-        slow.connect(os.path.join(elder.tmp.name, f"pipitledge-127.0.0.1-{elder.port}.sock"))
+    with elder.door() as slow:  # an heir that has claimed and does not go on
         slow.send(message(What.CLAIM, form=1, pid=1))
         elder.until("heir=1")
         with heir_of(elder, tmp_path) as third:
             assert "an upgrade is under way" in third.first and third.process.wait(10) == 2
     elder.until("ended=heir")
-    with elder.client() as client:
-        assert b" 200 " in exchange(client, READY)
+    assert b" 200 " in elder.ready()
 
 
 @pytest.mark.parametrize("said", [b"rubbish", json.dumps({"what": "claim", "form": 99}).encode(), None])
 def test_who_is_no_heir_gets_nothing(elder: Node, said: bytes | None) -> None:
-    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as nobody:
-        nobody.connect(os.path.join(elder.tmp.name, f"pipitledge-127.0.0.1-{elder.port}.sock"))
+    with elder.door() as nobody:
         if said is None:
             nobody.close()
         else:
             nobody.send(said)
             assert read_message(nobody.recv(4_096))[0] is What.REFUSED
         elder.until("turned_away=")
-    with elder.client() as client:
-        assert b" 200 " in exchange(client, READY)
+    assert b" 200 " in elder.ready()
 
 
 @pytest.mark.parametrize("ends", [signal.SIGKILL, signal.SIGSTOP])
@@ -220,5 +199,4 @@
         assert "claimed=False" in next_one.first and "workers=1" in next_one.first
         elder.process.kill()
         elder.process.wait()
-        with next_one.client() as client:
-            assert b" 200 " in exchange(client, READY)
+        assert b" 200 " in next_one.ready()
