--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -31,6 +31,9 @@
                     scope=scope, window_ms=window_ms)
 
 
+COLD = {"cold_share": 0.1, "cold_ms": 22_000.0, "overload_factor": 3.0, "fall_ms": 2_000.0}  # the protocol's rules
+
+
 def settings(**changes: Any) -> Settings:
     base: dict[str, Any] = {
         "classes": (SAFE, UNSAFE), "tenants": (Tenant(0.6), Tenant(0.4)), "max_attempts": 5,
