Give the console's callers and the peers' pair one way in and out of each test

Operators.caller() now also opens callers that send without a round, so the crowd and the urgent call use it; a pair fixture stops both peers after each test instead of a close() in each.

--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -66,12 +66,13 @@
         self.calls.append(call)
         return self.no.get(call.verb)
 
-    def caller(self, said: bytes = b"") -> socket.socket:
+    def caller(self, said: bytes = b"", settle: bool = True) -> socket.socket:
         sock = socket.create_connection(self.console.listener.getsockname())
-        sock.setblocking(False)
         self.rig.open.append(sock)
         sock.send(said)
-        self.rig.settle()
+        if settle:
+            sock.setblocking(False)
+            self.rig.settle()
         return sock
 
 
@@ -100,19 +101,15 @@
 
 def test_a_crowd_at_the_second_address_is_served_in_turn(rig: Rig) -> None:
     operators = Operators(rig)
-    crowd = [socket.create_connection(operators.console.listener.getsockname()) for _ in range(40)]
-    for sock in crowd:
-        sock.send(b"PING\n")
+    crowd = [operators.caller(b"PING\n", settle=False) for _ in range(40)]
     rig.settle()
     rig.settle()
-    rig.open += crowd
     assert [sock.recv(64) for sock in crowd] == [b"+OK\n"] * 40
 
 
 def test_a_call_runs_ahead_of_clients_that_are_ready(rig: Rig) -> None:
     operators, order = Operators(rig), list[str]()
-    sock = socket.create_connection(operators.console.listener.getsockname())
-    rig.open.append(sock)
+    sock = operators.caller(settle=False)
     rig.settle()
     for _ in range(100):
         rig.scheduler.spawn(lambda: order.append("client"))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import socket
+from collections.abc import Iterator
 
 import pytest
 from helpers import Driver, of
@@ -73,14 +74,18 @@
     def change(self, number: int) -> None:
         self.changes[number] += 1
 
-    def close(self) -> None:
-        for peers in self.peers:
-            peers.stop()
-        self.rig.settle()
 
 
-def test_a_node_that_is_out_says_so_at_once_and_one_that_falls_silent_is_missed(rig: Rig) -> None:
-    pair = Pair(rig)
+@pytest.fixture
+def pair(rig: Rig) -> Iterator[Pair]:
+    made = Pair(rig)
+    yield made
+    for peers in made.peers:
+        peers.stop()
+    rig.settle()
+
+
+def test_a_node_that_is_out_says_so_at_once_and_one_that_falls_silent_is_missed(rig: Rig, pair: Pair) -> None:
     zero, one = pair.peers
     assert zero.there == one.there == (0, 1) and rig.counters.counts["peer.heard"] == 2
     pair.serves[1] = False
@@ -98,23 +103,18 @@
     one.start()  # started again
     rig.settle()
     assert zero.there == (0, 1) and pair.changes[0] == 4
-    pair.close()
 
 
-def test_strangers_and_rubbish_change_nothing(rig: Rig) -> None:
-    pair = Pair(rig)
+def test_strangers_and_rubbish_change_nothing(rig: Rig, pair: Pair) -> None:
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as stranger:
         for said in (OUT, b"", b"x" * 60_000):
             stranger.sendto(said, pair.peers[0].listen)
     rig.settle()
     assert pair.peers[0].there == (0, 1) and rig.counters.counts["peer.ignored"] == 3
-    pair.close()
 
 
-def test_without_its_socket_a_node_serves_as_one_that_hears_nobody(rig: Rig) -> None:
-    pair = Pair(rig)
+def test_without_its_socket_a_node_serves_as_one_that_hears_nobody(rig: Rig, pair: Pair) -> None:
     other = Peers(rig.scheduler, rig, rig.counters, rig.log, pair.peers[0].listen,  # type: ignore[arg-type]
                   [], None, Membership(0, 2))
     other.start()
     assert other.sock is None and other.there == (0, 1) and rig.logged[-1][0] == "peers"
-    pair.close()
