Keep discovery's rows once in the host group; read a worker's row again when asked

The host group held every row twice, parsed in 'told' and in its form in 'raw', and kept both in step in three places. Only operators' DETACH and ATTACH read the parsed one; they now read the raw row by today's names, which also follows kinds renumbered at SIGHUP. Host group, upgrade and console tests pass.

--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -58,8 +58,7 @@
         self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
         self.version: int | None = None
         self.addresses: dict[str, Address] = {}
-        self.told: dict[str, Worker] = {}  # the list as discovery told it, without what operators laid over it
-        self.raw: dict[str, Any] = {}  # the same in its form: for a process that takes our place
+        self.raw: dict[str, Any] = {}  # the list as discovery told it, in its form: for a process that takes our place
         self.out: dict[str, float] = {}  # workers that operators took out, and when
         self.cold_from: dict[str, float] = {}  # workers back in use: the latest that they can have been restarted
         self._watches = 0  # begun so far; the newest is the one that counts
@@ -99,7 +98,7 @@
 
         Another process of this node may be sure of one that this one has not been told of yet.
         """
-        if worker not in self.told and worker not in self.out and not sure:
+        if worker not in self.raw and worker not in self.out and not sure:
             return False
         if worker not in self.out:
             self.out[worker] = self.clock.now()
@@ -110,10 +109,10 @@
 
     def attach(self, worker: str) -> bool:
         """Use a worker again. It was restarted meanwhile, so it is cold; False if nobody has this id."""
-        if worker not in self.told and worker not in self.out:
+        if worker not in self.raw and worker not in self.out:
             return False
         if (since := self.out.pop(worker, None)) is not None:
-            row = self.told.get(worker)
+            row = self._known(worker)
             if row is None or row.started_ms < since:  # discovery is late with it, and it may be as cold as can be
                 self.cold_from[worker] = self.clock.now()
             self._retell(worker)
@@ -121,9 +120,16 @@
 
     def _retell(self, worker: str) -> None:
         """Tell the module what a worker is by now; one that the list has dropped it has dropped too."""
-        if (row := self.told.get(worker)) is not None:
+        if (row := self._known(worker)) is not None:
             self.dispatch.listed(WorkersChanged(Listing.DELTA, (self._overlaid(row),)))
 
+    def _known(self, worker: str) -> Worker | None:
+        """The row that discovery told of a worker, without what operators laid over it, by today's names."""
+        try:
+            return read_row(self.raw[worker], self.names)[0] if worker in self.raw else None
+        except BadRow:  # its kind or zone is named no more
+            return None
+
     def _overlaid(self, row: Worker) -> Worker:
         """A row of the list as the module is to have it: no news undoes what operators said."""
         if row.id in self.out and row.state is State.SERVING:
@@ -141,7 +147,7 @@
         whole = listing is not Listing.DELTA
         addresses = {} if whole else dict(self.addresses)
         if whole:
-            self.told, self.raw = {}, {}
+            self.raw = {}
         told = said.get("targets")
         for raw in told if isinstance(told, list) else []:
             try:
@@ -153,11 +159,10 @@
             rows.append(self._overlaid(worker))
             if worker.state is State.GONE:
                 addresses.pop(worker.id, None)
-                self.told.pop(worker.id, None)
                 self.raw.pop(worker.id, None)
             else:
                 addresses[worker.id] = where
-                self.told[worker.id], self.raw[worker.id] = worker, raw
+                self.raw[worker.id] = raw
         if isinstance(said.get("rev"), int):
             self.version = said["rev"]
         self.addresses = addresses
