Ask in one place whether the front has room for one more connection

Accepting and adopting from an elder each wrote the budget, its spare and the shedding out; _has_room() says it once. Front and upgrade tests pass.

--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -341,9 +341,13 @@
 
     def _accept_all(self, most: int = AT_ONCE) -> bool:
         """Accept some of those that wait; False if there is no room for more just now."""
-        return accept_some(self.listener, most, lambda: len(self.links) < self.most + SPARE or self._shed(),
+        return accept_some(self.listener, most, self._has_room,
                            self._accepted, self._starved)
 
+    def _has_room(self) -> bool:
+        """Whether one more connection may be served: under the budget and its spare, or after one gave way."""
+        return len(self.links) < self.most + SPARE or self._shed()
+
     def _accepted(self, sock: socket.socket) -> None:
         self.counters.add("client.accepted")
         self._link(sock, False)
@@ -413,7 +417,7 @@
 
     def adopt(self, sock: socket.socket, used: bool) -> None:
         """Take a connection over from another process of this node: one with nothing under way."""
-        if self.takes and (len(self.links) < self.most + SPARE or self._shed()):
+        if self.takes and self._has_room():
             self.counters.add("client.adopted")
             self._link(sock, used)
         else:
