Follow a pushed list from the start, back at once after each end, and say when it is stale

Checked: a node told discovery push beside an agent opened no connection to it. The module subscribes only where the list is asked for (policy.py, asked = not must_ask), and HostGroup.watch had no other caller at a start. Ruled out: reading of rows and states (the same rows are taken from a watch), the pool (retires what the list names). Change: upkeep.py, without I/O, knows who keeps the list up. A pushed list is watched from the start, dialled again 20 to 160 ms after each end, given up after 2.4 s of silence or 0.4 s without a first answer, and the module hears of no failure, as it never asked. A discovery kind that is unknown or missing is asked for. A list that nobody has kept up for 6 s is logged and counted once, in both kinds. A reload to another kind keeps a watch running.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -114,7 +114,8 @@
     dispatch = Dispatch(clock, timers, policy, counters, log)
     clients, links = budget(told.sockets)
     pool = Pool(scheduler, clock, dispatch, counters, log, told.dial_timeout_ms, told.idle_ms, links)
-    group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names)
+    group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names,
+                      not told.settings.must_ask)
     dispatch.links, dispatch.watch = pool, group.watch
     scheduler.after_round = dispatch.round
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, listener, clients,
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -84,6 +84,10 @@
             if key in info or not _FIGURE.fullmatch(value):
                 raise BadMessage(400, "bad Request-Info")
             info[key] = float(value)
+    if told := request.get(b"work-hint"):
+        if not _FIGURE.fullmatch(told):
+            raise BadMessage(400, "bad Work-Hint")
+        info[b"hint"] = float(told) / 1_000.0  # the header is in microseconds
     slots = info.get(b"slots", 1.0)
     if not 0 <= slots <= 1_024:
         raise BadMessage(400, "slots out of range")
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -20,12 +20,10 @@
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.endings import Ending
 from pipitledge.node.server_link import Pool
+from pipitledge.node.upkeep import STALE_MS, Upkeep
 from pipitledge.settings import STATES
 
 DIAL_MS = 1_000.0
-# Discovery writes an empty line every 2 s, and what it has to tell counts as told after 6 s: a watch that is
-# silent must be found dead early enough to ask again within that time.
-SILENT_MS = 3_500.0
 MAX_LINE = 4 * 1024 * 1024
 
 
@@ -52,8 +50,8 @@
     """The list as this node last had it, and the watch that keeps it up to date."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, pool: Pool, counters: Counters,
-                 log: Log, discovery: Address, names: Names) -> None:
-        """Begin without a list; `start` brings the one known from before."""
+                 log: Log, discovery: Address, names: Names, pushed: bool = False) -> None:
+        """Begin without a list; `start` brings the one known from before. A pushed list is followed from then on."""
         self.scheduler, self.clock, self.dispatch, self.pool = scheduler, clock, dispatch, pool
         self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
         self.version: int | None = None
@@ -63,10 +61,36 @@
         self.cold_from: dict[str, float] = {}  # workers back in use: the latest that they can have been restarted
         self._watches = 0  # begun so far; the newest is the one that counts
         self._watching: Task | None = None
+        self.upkeep = Upkeep(pushed, clock.now())
 
     def start(self, known: Mapping[str, Any]) -> None:
-        """Tell the list that this node held before its start."""
+        """Tell the list that this node held before its start, and see to it that somebody keeps it up."""
         self._take(known, Listing.CACHED)
+        self.upkeep.heard(self.clock.now())
+        if self.upkeep.pushed:
+            self.watch()
+        self._look_when_stale()
+
+    def adopt(self, names: Names, pushed: bool) -> None:
+        """Read rows by other names from now on; where the list comes another way than before, a watch must run."""
+        self.names = names
+        if pushed != self.upkeep.pushed:
+            self.upkeep.pushed = pushed
+            self.watch()
+
+    def _look_when_stale(self) -> None:
+        """Tell the operators once when nobody has kept the list up for so long, whatever the reason."""
+        now = self.clock.now()
+        if self.upkeep.falls_stale(now):
+            self.counters.add("list.stale")
+            self.log("list", stale=f"nothing heard for {now - self.upkeep.heard_ms:.0f} ms", rev=self.version,
+                     known=len(self.addresses), pushed=self.upkeep.pushed)
+        self.scheduler.timers.at(max(self.upkeep.heard_ms, now - STALE_MS / 2.0) + STALE_MS, self._look_when_stale)
+
+    def _heard(self) -> None:
+        now = self.clock.now()
+        if (silent := self.upkeep.heard(now)) is not None:
+            self.log("list", fresh=f"heard again after {silent:.0f} ms", rev=self.version, known=len(self.addresses))
 
     def watch(self) -> None:
         """Begin a watch, unless one runs: it will tell what there is to tell, or its end will.
@@ -202,17 +226,26 @@
             self.log("watch", ending=ending.value, rev=self.version)
             if ending is not Ending.WATCH_REPLACED:
                 self._watching = None
-                self.dispatch.listed(WorkersChanged(Listing.FAILED))
+                if self.upkeep.pushed:  # its news count as told whether we listen or not, and asking costs nobody
+                    self.scheduler.timers.at(self.clock.now() + self.upkeep.again_ms(), self._again)
+                else:
+                    self.dispatch.listed(WorkersChanged(Listing.FAILED))
+
+    def _again(self) -> None:
+        if self.upkeep.pushed:
+            self.watch()
+        elif self._watching is None:  # by now the list is asked for, and that is the module's to decide
+            self.dispatch.listed(WorkersChanged(Listing.FAILED))
 
     def _follow_on(self, number: int, stream: Stream) -> Ending:
         since = b"" if self.version is None else b"&since=%d" % self.version
         host = "{}:{}".format(*self.discovery).encode()
         request = request_parts(b"GET", b"/api/targets?follow=1" + since, host, [], b"")
-        if not stream.write(request, self.clock.now() + SILENT_MS):
+        if not stream.write(request, self.clock.now() + self.upkeep.silent_ms(False)):
             return Ending.WATCH_SILENT
         side = WorkerSide(1 << 60, MAX_LINE)
         while side.is_open:
-            why = stream.readable(self.clock.now() + SILENT_MS)
+            why = stream.readable(self.clock.now() + self.upkeep.silent_ms(side.status != 0))
             if number != self._watches:
                 return Ending.WATCH_REPLACED
             if why is Wake.TIMEOUT:
@@ -221,6 +254,9 @@
             lines = side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
             if side.status not in (0, 200):
                 return Ending.WATCH_REFUSED
+            if lines:  # an empty one, too, says that there is no news
+                self.upkeep.answered()
+                self._heard()
             for line in lines:
                 if line.strip():
                     said = json.loads(line)
--- a/pipitledge/node/household.py
+++ b/pipitledge/node/household.py
@@ -45,7 +45,8 @@
         if self.peers is not None and tier != (told.settings.instances, told.settings.number):
             self.peers.membership = self._membership()
         self._put_in_force()
-        self.front.names, self.front.settings, self.group.names = names, told.settings, names
+        self.front.names, self.front.settings = names, told.settings
+        self.group.adopt(names, not told.settings.must_ask)
         self.pool.allow(told.dial_timeout_ms, told.idle_ms)
         self.share_out()
         self.group.move(told.discovery)
--- /dev/null
+++ b/pipitledge/node/upkeep.py
@@ -0,0 +1,60 @@
+"""Who keeps the list up, and when nobody does. No I/O.
+
+A deployment tells how its list comes. Where it is *asked* for, one service answers all nodes, so every call is the
+module's to decide: it asks for a watch and hears of its end. Where it is *pushed*, an agent on the node's own machine
+has what the node counts as told, so a watch must run from the start, and again at once after each end.
+
+    states of a pushed list       leaves by
+    watched, list fresh           the watch's end, or its silence -> between watches
+    between watches               again_ms later -> dialling, which ends in a watch or in another wait
+    stale (any of the above)      a line of any watch -> fresh
+
+Always true: with a pushed list either a watch's task runs or a timer that begins one is set. Whichever way the list
+comes, `falls_stale` is true exactly once after STALE_MS without a line, and `heard` ends that.
+"""
+
+from __future__ import annotations
+
+# A line, an empty one at the least, comes every 2 s, and what discovery has to tell counts as told after 6 s.
+ASKED_SILENT_MS = 3_500.0  # an asked list's watch must be found dead early enough to ask again within that time
+PUSHED_SILENT_MS = 2_400.0  # an agent's news bind from when it had them, and a new call costs nothing
+PUSHED_ANSWER_MS = 400.0  # an agent answers at once; one that was silent may have dropped the calls it got meanwhile
+STALE_MS = 6_000.0
+AGAIN_MS, AGAIN_MOST_MS = 20.0, 160.0  # between an end and the next call: far less than a drain's grace
+
+
+class Upkeep:
+    """Told of lines, answers and ends, it knows how long to wait, and whether the list is stale."""
+
+    def __init__(self, pushed: bool, now_ms: float) -> None:
+        """Begin with a list that was heard just now."""
+        self.pushed, self.heard_ms, self.stale = pushed, now_ms, False
+        self._ends = 0  # in a row, without an answer between them
+
+    def heard(self, now_ms: float) -> float | None:
+        """Take a line. Where the list was stale, the ms that nothing was heard; else None."""
+        silent = now_ms - self.heard_ms if self.stale else None
+        self.heard_ms, self.stale = now_ms, False
+        return silent
+
+    def answered(self) -> None:
+        """A watch has told something: the next one after its end comes at once."""
+        self._ends = 0
+
+    def again_ms(self) -> float:
+        """How long to wait from the end of a pushed list's watch to the next one."""
+        self._ends += 1
+        return float(min(AGAIN_MOST_MS, AGAIN_MS * 2.0 ** min(self._ends - 1, 8)))
+
+    def silent_ms(self, answered: bool) -> float:
+        """After how long without a byte a watch is dead, before and after its first."""
+        if not self.pushed:
+            return ASKED_SILENT_MS
+        return PUSHED_SILENT_MS if answered else PUSHED_ANSWER_MS
+
+    def falls_stale(self, now_ms: float) -> bool:
+        """Whether the list is stale from now on; true once."""
+        if self.stale or now_ms < self.heard_ms + STALE_MS:
+            return False
+        self.stale = True
+        return True
--- a/pipitledge/settings.py
+++ b/pipitledge/settings.py
@@ -59,7 +59,7 @@
         zone=raw.get("zone", 0),
         instances=raw.get("n_instances", 1),
         number=raw.get("my_number", 0),
-        must_ask=raw.get("discovery") == "ask",
+        must_ask=raw.get("discovery") != "push",  # unknown or not told: asking, with its back-off, works with both
         probes=bool(allow.get("probes")),
         cancel=bool(allow.get("cancel")),
         second_copies=bool(allow.get("second_copies")),
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -22,7 +22,7 @@
     "permissions": {"max_attempts": 5, "probes": True},
     "report": {"fields": ["x0", "rif"], "source": "answers"},
     "specifics": {"report_x0": "free slots", "class_stretch": [2.0]},
-    "n_instances": 2, "my_number": 1, "strange": {"new": "key"},
+    "n_instances": 2, "my_number": 1, "discovery": "push", "strange": {"new": "key"},
 }
 SPAWN = f"instance\ti=1\nspawn\trandom_seed=5\toptions={json.dumps(OPTIONS)}\n"
 ROW = "worker\tsite=0\tphase=in_service\tworker=10.0.0.1:1\n"
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -162,6 +162,7 @@
         b"Host: x\r\nRequest-Id: a\r\nRequest-Info: slots=1_0\r\n",
         b"Host: x\r\nRequest-Id: a\r\nRequest-Info: slots=1,slots=2\r\n",
         b"Host: x\r\nRequest-Id: a\r\nRequest-Info: memory=-1\r\n",
+        b"Host: x\r\nRequest-Id: a\r\nWork-Hint: 1e3\r\n",
         b"Host: x\r\nRequest-Id: a\tb\r\n",
         b"Host: x\r\nRequest-Id: a\x80\r\n",
         b"Host: x\ty\r\nRequest-Id: a\r\n",
@@ -191,6 +192,7 @@
                    request_info=b"slots=2,new=x")
     assert told == JobArrived("a", 1, 1, 480.0, 2.0, 0.0, 0.0, "abc", True)
     assert arrival() == JobArrived("a", 1, 0, SETTINGS.classes[1].deadline_ms)
+    assert arrival(work_hint=b"34925.5").hint_ms == pytest.approx(34.9255)  # the header is in microseconds
     with pytest.raises(BadMessage):
         arrival(request_id=b"x" * 257)
 
--- a/tests/test_host_group.py
+++ b/tests/test_host_group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 
 import pytest
@@ -11,7 +12,9 @@
 from net_helper import END, HEAD, NAMES, Rig, chunk, line, read
 
 from pipitledge.interface import Listing, Send, State, Worker, WorkersChanged
-from pipitledge.node.host_group import SILENT_MS, BadRow, read_row
+from pipitledge.node.host_group import BadRow, read_row
+from pipitledge.node.upkeep import AGAIN_MOST_MS, PUSHED_ANSWER_MS, PUSHED_SILENT_MS, STALE_MS
+from pipitledge.node.upkeep import ASKED_SILENT_MS as SILENT_MS
 
 ROW = {"uid": "s-1", "endpoint": "127.1.0.1:8443", "az": "aarhus-1", "model": "slow-5", "pod_group": 3,
        "state": "in_service", "capacity_hint": 1.5, "boot_ms": 0}
@@ -240,3 +243,115 @@
     rig.dialled[0].send(HEAD + chunk(b'{"rev":8,"all":true}\n'))
     rig.settle()
     assert rig.script.of(WorkersChanged)[-1].listing is Listing.FAILED and rig.pool.addresses
+
+
+# ---- a list that is pushed
+
+
+@pytest.fixture
+def pushed(rig: Rig) -> Rig:
+    """A node whose list is pushed, with the list it knew before its start."""
+    rig.group.upkeep.pushed = True
+    rig.group.start({"rev": 7, "all": True, "targets": [ROW]})
+    rig.settle()
+    return rig
+
+
+def test_a_pushed_list_is_followed_from_the_start_though_the_module_never_asks(pushed: Rig) -> None:
+    assert b"GET /api/targets?follow=1&since=7 HTTP/1.1\r\n" in (read(pushed.dialled[0]) or b"")
+    pushed.dialled[0].send(HEAD + said(8, False, ROW | {"state": "terminating"}))
+    pushed.settle()
+    [_, drains] = pushed.script.of(WorkersChanged)
+    assert drains.listing is Listing.DELTA and drains.workers[0].state is State.DRAINING
+
+
+@pytest.mark.parametrize("end", ["closed", "refused", "broken", "silent", "never answers", "silent from the start"])
+def test_a_pushed_lists_watch_is_back_within_a_drains_grace_and_the_module_hears_of_no_failure(
+        pushed: Rig, end: str) -> None:
+    agent = pushed.dialled[0]
+    if end == "refused":
+        agent.send(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+    elif end != "silent from the start":
+        agent.send(HEAD + said(8, False, ROW))
+    if end == "broken":
+        agent.send(chunk(b"{broken\n"))
+    elif end == "closed":
+        agent.close()
+    elif end == "never answers":  # silent, and it drops the calls that come meanwhile
+        for _ in range(8):
+            pushed.settle(PUSHED_SILENT_MS)
+            pushed.settle(AGAIN_MOST_MS)
+    pushed.settle()
+    dialled = len(pushed.dialled)
+    pushed.settle(PUSHED_SILENT_MS if end == "silent" else PUSHED_ANSWER_MS)
+    pushed.settle(AGAIN_MOST_MS)
+    assert PUSHED_ANSWER_MS + AGAIN_MOST_MS < 600.0 and len(pushed.dialled) > dialled
+    request = read(pushed.dialled[-1]) or b""
+    assert (b"since=7" if end in ("refused", "silent from the start") else b"since=8") in request
+    pushed.dialled[-1].send(HEAD + said(9, False, ROW | {"state": "terminated"}))
+    pushed.settle()
+    assert Listing.FAILED not in [change.listing for change in pushed.script.of(WorkersChanged)]
+    assert not pushed.group.addresses
+
+
+@pytest.mark.parametrize("is_pushed", [True, False])
+def test_a_list_that_nobody_keeps_up_is_said_once_and_so_is_its_end(rig: Rig, is_pushed: bool) -> None:
+    rig.group.upkeep.pushed, rig.next_refuses = is_pushed, True
+    rig.group.start({"rev": 7, "all": True, "targets": [ROW]})
+    told = lambda word: [fields for event, fields in rig.logged if event == "list" and word in fields]  # noqa: E731
+    rig.settle(STALE_MS - 1.0)
+    assert not told("stale")
+    for _ in range(20):
+        rig.settle(1_000.0)
+    assert len(told("stale")) == rig.counters.counts["list.stale"] == 1 and not told("fresh")
+    rig.next_refuses = False
+    rig.group.watch()
+    rig.settle(AGAIN_MOST_MS)
+    rig.dialled[-1].send(HEAD + chunk(b"\n"))
+    rig.settle()
+    assert len(told("fresh")) == 1
+    for _ in range(20):
+        rig.settle(1_000.0)
+        rig.dialled[-1].send(chunk(b"\n"))
+        rig.settle()
+    assert rig.counters.counts["list.stale"] == 1
+
+
+@DERANDOMISED
+@given(steps=st.lists(st.tuples(st.sampled_from(["line", "end", "wait", "refuse"]), st.floats(1.0, 3_000.0)),
+                      max_size=30))
+def test_a_pushed_list_always_has_a_watch_or_a_timer_that_begins_one(steps: list[tuple[str, float]]) -> None:
+    with pytest.MonkeyPatch.context() as patch:
+        rig = Rig(patch)
+        rig.group.upkeep.pushed = True
+        rig.group.start({"rev": 7, "all": True, "targets": []})
+        for what, after in steps:
+            rig.next_refuses = what == "refuse"
+            if what == "line" and rig.dialled:
+                with contextlib.suppress(OSError):
+                    rig.dialled[-1].send(HEAD + chunk(b"\n"))
+            elif what == "end" and rig.dialled:
+                rig.dialled[-1].close()
+            rig.settle(after)
+            assert rig.group._watching is not None or (rig.timers.wait_ms() or 0.0) <= AGAIN_MOST_MS
+        rig.next_refuses = False
+        before = len(rig.dialled)
+        rig.settle(AGAIN_MOST_MS)
+        rig.settle(PUSHED_SILENT_MS)
+        rig.settle(AGAIN_MOST_MS)
+        assert len(rig.dialled) > before - 1 and rig.group._watching is not None
+        rig.close()
+        assert not rig.crashes
+
+
+def test_a_reload_to_a_pushed_list_begins_the_watch_and_back_leaves_its_end_to_the_module(rig: Rig) -> None:
+    rig.group.start({"rev": 7, "all": True, "targets": [ROW]})
+    rig.settle(1_000.0)
+    assert not rig.dialled
+    rig.group.adopt(NAMES, True)
+    rig.settle()
+    assert len(rig.dialled) == 1
+    rig.group.adopt(NAMES, False)
+    rig.dialled[0].close()
+    rig.settle()
+    assert rig.script.of(WorkersChanged)[-1].listing is Listing.FAILED
