Read a probe's load report in the form of Server-Load, not as JSON alone

Seen: on the second deployment nodes refused 56 % of the first 5 s while nine workers stood nearly idle, one job at each. Checked with a probe line at each report: status 200, report None every time, slots of both kinds 1.0 to the end; the body was 'x0=6.690,rate=0,fail_rate=0,lat_ms=0'. A JSON object is still read.

--- a/pipitledge/node/server_link.py
+++ b/pipitledge/node/server_link.py
@@ -59,6 +59,14 @@
             if isinstance(value, (int, float)) and math.isfinite(value)} or None
 
 
+def read_report_body(body: bytes) -> dict[str, float] | None:
+    """Read a load report from a probe's body: the pairs of a Server-Load header, or a JSON object."""
+    try:
+        return read_report(json.loads(body))
+    except ValueError:
+        return read_report_header(body)
+
+
 def read_report_header(value: bytes) -> dict[str, float] | None:
     """Read a load report from a Server-Load header."""
     pairs: dict[str, float] = {}
@@ -347,8 +355,7 @@
                 body += side.receive(stream.buffer) if size > 0 else side.end() if size == 0 else []
             ending = Ending.BROKEN_AFTER_SENT if not side.is_whole else (
                 Ending.SERVED if side.status == 200 else ending_of_status(side.status, side.not_started))
-            with contextlib.suppress(ValueError):
-                report = read_report(json.loads(b"".join(body))) or read_report_header(side.load)
+            report = read_report_body(b"".join(body)) or read_report_header(side.load)
         except OSError:
             ending = Ending.DIAL_REFUSED if ending is Ending.DIAL_TIMEOUT else Ending.BROKEN_AFTER_SENT
         except (BadMessage, OverflowError):
--- a/tests/test_server_link.py
+++ b/tests/test_server_link.py
@@ -266,6 +266,8 @@
 
 @pytest.mark.parametrize("reply, result", [
     (b"HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\n" + b'{"queue":3,"latency_ms":7}', Result.OK),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nqueue=3,latency_ms=7", Result.OK),
+    (b"HTTP/1.1 200 OK\r\nServer-Load: queue=3,latency_ms=7\r\nContent-Length: 0\r\n\r\n", Result.OK),
     (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Result.ERROR),
     (b"nonsense\r\n\r\n", Result.RESET),
 ])
