--- /dev/null
+++ b/pipitledge/beliefs.py
@@ -0,0 +1,132 @@
+"""What a scheduler believes of workers and classes, learned from what it is told. No I/O, no decisions.
+
+By class: the mean running time, and that over the hint. By kind of machine: slots of a worker, and its pace. By worker:
+its own pace, and the slots that others hold there. Each figure moves by a fixed weight towards each new sight, so it
+forgets in so many sights, whatever the length of jobs.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from pipitledge.interface import AttemptRecord, JobArrived, JobRecord, Settings, WorkerRecord
+
+LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
+PACE_MOST = 3.0  # of one sight, as a logarithm
+SETTLED_MS, SETTLE = 20.0, 0.1  # a start or a wait is no matter of messages crossing; weight of a wait
+SEEN, SEEN_LATE_MS = 0.3, 1_000.0  # weight of one sight of what others hold; about how old it is when it comes
+RECOVER_MS = 8_000.0  # in which the slowness of an idle worker is forgotten for the most part
+SLOWER = 0.5  # so much slower than its kind, as a logarithm, a worker is before it counts for less
+
+
+class Beliefs:
+    """The figures, and how each thing told changes them."""
+
+    def __init__(self) -> None:
+        """Know nothing; the lists are filled as settings name classes and kinds."""
+        self.run_ms, self.per_hint = list[float](), list[float]()  # by class: running time, that over hint
+        self.slots, self.kind_slowness = list[float](), list[float]()  # by kind: slots of a worker, its pace
+        self.nominal: dict[int, float] = {}  # by kind: the largest weight that was told
+
+    def by_number(self) -> tuple[list[float], list[float], list[float], list[float]]:
+        """The lists themselves."""
+        return self.run_ms, self.per_hint, self.slots, self.kind_slowness
+
+    # ---- classes
+
+    def size_ms(self, event: JobArrived) -> float:
+        """How long a job runs at the yardstick's speed, as far as hint and class tell."""
+        return max(1.0, event.hint_ms * self.per_hint[event.job_class] or self.run_ms[event.job_class])
+
+    def served(self, job: JobRecord, attempt: AttemptRecord, now_ms: float) -> None:
+        """Learn from how long an attempt took that served."""
+        worker, index = attempt.worker, job.event.job_class
+        took = max(1.0, now_ms - (attempt.started_ms or attempt.sent_ms))
+        pace = self._paced(worker, took, job.size_ms)
+        self.kind_slowness[worker.kind] += LEARN / 5.0 * (pace - self.kind_slowness[worker.kind])
+        self.run_ms[index] += LEARN * (took - self.run_ms[index])
+        if job.event.hint_ms > 0:
+            self.per_hint[index] += LEARN * (min(took / job.event.hint_ms, 10.0) - self.per_hint[index])
+
+    def is_in_time(self, job: JobRecord, attempt: AttemptRecord, now_ms: float) -> bool:
+        """Whether a job that ends now is in time. Its own work is told by the hint, or else by how long it ran."""
+        ran = (now_ms - (attempt.started_ms or attempt.sent_ms)) * attempt.worker.pace()
+        work = job.size_ms if job.event.hint_ms else ran
+        return now_ms - job.born_ms <= job.cls.objective_ms + job.cls.stretch * work
+
+    # ---- workers' pace
+
+    def _paced(self, worker: WorkerRecord, took_ms: float, size_ms: float) -> float:
+        pace = max(-PACE_MOST, min(PACE_MOST, math.log(max(1.0, took_ms) / size_ms)))
+        worker.slowness += PACE * (pace - worker.slowness)
+        return pace
+
+    def noted(self, job: JobRecord, attempt: AttemptRecord, fraction: float, now_ms: float) -> None:
+        """Take an attempt's progress: between two notes it ran all along, and so tells its worker's pace early."""
+        if 0.0 < attempt.share < fraction and not attempt.overdue:
+            self._paced(attempt.worker, (now_ms - attempt.heard_ms) / (fraction - attempt.share), job.size_ms)
+        attempt.heard_ms, attempt.share = now_ms, fraction
+
+    def passed(self, worker: WorkerRecord, now_ms: float) -> None:
+        """Let time pass: a worker without a job of ours tells nothing, and is taken for its kind again, slowly."""
+        passed, worker.lagged_ms = now_ms - (worker.lagged_ms or now_ms), now_ms
+        worker.lagged += (1.0 - math.exp(-passed / SEEN_LATE_MS)) * (worker.slots_out - worker.lagged)
+        if not worker.slots_out:
+            typical = self.kind_slowness[worker.kind]
+            worker.slowness += (1.0 - math.exp(-passed / RECOVER_MS)) * (typical - worker.slowness)
+
+    def capacity(self, worker: WorkerRecord) -> float:
+        """Slots of a worker, less where it is cold or much slower than its kind."""
+        slow = min(1.0, math.exp(self.kind_slowness[worker.kind] + SLOWER - worker.slowness))
+        return self.slots[worker.kind] * worker.warm * slow
+
+    # ---- slots, and what others hold
+
+    def look(self, out: Iterable[tuple[JobRecord, int, AttemptRecord]], now_ms: float, settings: Settings) -> None:
+        """Learn slots from what runs and what waits at the workers, whatever their reports show free.
+
+        A worker under load never reports many free. So many as run there it has; where a job waits, it has
+        fewer than that needs, but for other nodes' jobs. One that was overtaken waits for no slots.
+        """
+        runs, waits = dict[WorkerRecord, float](), dict[WorkerRecord, float]()
+        for job, _, attempt in out:
+            worker, slots = attempt.worker, job.event.slots
+            if attempt.overdue or now_ms - (attempt.started_ms or attempt.sent_ms) < SETTLED_MS:
+                continue
+            if attempt.started_ms:
+                runs[worker] = runs.get(worker, 0.0) + slots
+            elif attempt.sent_ms >= worker.started_ms:
+                waits[worker] = min(slots, waits.get(worker, math.inf))
+        for worker, least in runs.items():
+            known, most = self.slots[worker.kind], least + waits.get(worker, math.inf) - 1.0
+            change = SETTLE * min(0.0, most - known) if settings.instances == 1 else 0.0
+            self.slots[worker.kind] = max(least, known + change)
+
+    def reported(self, worker: WorkerRecord, free: float, now_ms: float, settings: Settings) -> None:
+        """Take the free slots that a report shows: so many a worker has at the least, and the rest is held.
+
+        Where we are the only node, what is free and what is ours are all that it has; `look` knows it better.
+        """
+        if settings.instances == 1 and not settings.tells_start and free > 0.5 and worker.warm == 1.0:
+            self.slots[worker.kind] += SETTLE * min(0.0, max(1.0, free + worker.lagged) - self.slots[worker.kind])
+        slots = self.slots[worker.kind] = max(self.slots[worker.kind], float(round(free * 0.95)))  # it is noisy
+        # One without a free slot holds all that it has, and maybe more that wait there.
+        held = slots - free if free > 0.5 else max(slots * worker.warm, worker.slots_out + worker.others)
+        self._seen(worker, held, now_ms)
+
+    def weighed(self, worker: WorkerRecord | None, weight: float, now_ms: float, kind: int = 0) -> None:
+        """Take a weight: of a worker that is listed anew the size of its kind, else its size by what it holds.
+
+        A live weight is the size over 1 + requests held for each core; a core is a slot for jobs. Others change
+        with the operators' mind or not at all, and tell nothing of what is held.
+        """
+        if worker is None:
+            self.nominal[kind] = max(weight, self.nominal.get(kind, 0.0))
+        elif weight > 0.0:
+            nominal = self.nominal[worker.kind] = max(weight, self.nominal.get(worker.kind, 0.0))
+            self._seen(worker, self.slots[worker.kind] * (nominal / weight - 1.0), now_ms)
+
+    def _seen(self, worker: WorkerRecord, held: float, now_ms: float) -> None:
+        worker.seen_ms = now_ms
+        worker.others += SEEN * (held - worker.lagged - worker.others)
--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -92,6 +92,17 @@
     quota_per_s: float = 0.0
 
 
+class Goal(NamedTuple):
+    """How the operator mixes the parts of a result: of the whole worth, the worst class, the worst tenant."""
+
+    whole: float = 1.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+
+
+WHOLE = Goal()
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What the operator states at start. Defaults are the careful choice where a key is absent."""
@@ -112,6 +123,10 @@
     max_retry_after_ms: float = 0.0
     over_share_worth: float = 1.0
     worth_by_work: bool = False
+    goal: Goal = WHOLE
+    cross_zone_price: float = 0.0  # points of the goal if every first try crossed zones once
+    probe_price: float = 0.0  # if every first try cost one probe
+    live_weights: bool = False  # weights in the list are sizes divided by 1 + requests held for each core
     report_fields: tuple[str, ...] = ()
     reports_with_answers: bool = False
     free_slots_field: str = ""
@@ -134,7 +149,7 @@
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be at least 1")
         for name in ("cold_share", "cold_ms", "overload_factor", "fall_ms", "resolution_ms", "progress_ms",
-                     "max_retry_after_ms", "over_share_worth", "ask_every_ms"):
+                     "max_retry_after_ms", "over_share_worth", "ask_every_ms", "cross_zone_price", "probe_price"):
             if not getattr(self, name) >= 0:
                 raise ValueError(f"{name}: must not be negative")
         if not 0 <= self.number < self.instances:
@@ -156,9 +171,9 @@
 
     def begin(self, slots: float) -> tuple[list[float], ...]:
         """Where what is learned or counted by number begins: tokens in flight and running by tenant; running time
-        and that over the hint by class; slots of a worker (where starts are told, waits correct what begins too
-        high) and slowness by kind."""
-        idle, slots = [0.0] * len(self.tenants), slots if self.tells_start else 1.0
+        and that over the hint by class; slots of a worker (where starts or free slots are told, these correct
+        what begins wrong) and slowness by kind."""
+        idle, slots = [0.0] * len(self.tenants), slots if self.tells_start or self.free_slots_field else 1.0
         return (idle, idle, [job_class.objective_ms for job_class in self.classes], [1.0] * len(self.classes),
                 [slots] * self.kinds, [0.0] * self.kinds)
 
@@ -167,6 +182,11 @@
         """Whether any class may be repeated freely."""
         return any(job_class.repeat is Repeat.SAFE for job_class in self.classes)
 
+    @property
+    def sees_others(self) -> bool:
+        """Whether what other nodes have at a worker is shown, now and then, by its weight or by probes."""
+        return self.live_weights or self.must_probe
+
     @property
     def must_probe(self) -> bool:
         """Whether probes are allowed and the only way to hear of free slots."""
@@ -400,6 +420,11 @@
     slots_out: float = 0.0  # slots and memory of our attempts
     memory_out: float = 0.0
     started_ms: float = -math.inf  # when the last sent of those that have started there was sent
+    others: float = 0.0  # slots that others hold there, as far as weights or reports show
+    seen_ms: float = -math.inf  # when that was shown last
+    lagged: float = 0.0  # slots_out as it was about when what is shown now was so
+    lagged_ms: float = 0.0  # when that was reckoned; 0: not yet
+    probed_ms: float = -math.inf  # when it was last asked how it is
     free: float = 0.0  # free slots by the last report, less what we sent since
     queued: float = 0.0  # jobs waiting there by the last report
     reported_ms: float = -math.inf
@@ -412,13 +437,19 @@
     cold_ms: float = -math.inf  # when these were counted
     tried: bool = False  # a job was sent to it since it started
 
-    LEARNED = ("slowness", "free", "queued", "reported_ms", "full_until", "failures", "cold_tokens", "cold_ms", "tried")
+    LEARNED = ("slowness", "free", "queued", "reported_ms", "full_until", "failures", "cold_tokens", "cold_ms", "tried",
+               "others", "seen_ms")
+
+    def pace(self) -> float:
+        """How much faster than jobs are expected to run: under 1 where it is slow."""
+        return math.exp(-self.slowness)
 
     def inherit(self, learned: Mapping[str, float]) -> None:
         """Take what another process has learned of this worker since it started."""
         for name in self.LEARNED:
             if name in learned:
                 setattr(self, name, type(getattr(self, name))(learned[name]))
+        self.lagged_ms = 0.0  # what was learned fades from now on
 
     def accrue(self, rate: float, window_ms: float, cost: float, random: Random, now_ms: float) -> float:
         """Count the cold budget on to now and return it: slot-ms, at `rate` a millisecond."""
@@ -465,6 +496,7 @@
     spilled: bool  # went beyond our own part
     heard_ms: float  # its last sign of life
     started_ms: float = 0.0
+    share: float = 0.0  # done by its last note
     overdue: bool = False
     freed: float = 0.0  # part of its slots that counts as free, as it is overdue and may be dead
     cancelled: bool = False
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -15,24 +15,26 @@
     Inherited, JobArrived, JobRecord, Jobs, Later, Listing, Log, Pool, Probe, ProbeEnded, Refuse, Repeat,
     Result, Scope, Send, SetTimer, Settings, SettingsChanged, State, Subscribe, TimerFired, WorkerRecord,
     WorkersChanged)
+from pipitledge.beliefs import Beliefs
+from pipitledge.shares import share_out, taken
+from pipitledge.worth import Worth
 
 SAMPLE = 6  # workers looked at for one job: enough to find room, whatever the size of the fleet
-LEARN, PACE = 0.05, 0.1  # weight of one job in class means (the last 20), in a worker's slowness (10)
 JUDGE, FLEET = 0.3, 0.02  # weight of one outcome in a worker's failures, in the fleet's (50)
 JUDGE_DEAD = 0.35  # of one that shows a worker is not there; it takes two, as it does of plain errors
 JUDGE_RESET = 0.15  # of a broken connection: its worker may be well, and one that is gone breaks all of them
 OVERDUE, OVERDUE_MS, JUDGE_OVERDUE = 4.0, 100.0, 0.1  # times its expected running time, and this much more
 SILENT, SILENT_MS, PASSED_MS = 1.1, 200.0, 100.0  # times the pace of notes, and this much more: it is dead
-SETTLED_MS, SETTLE = 20.0, 0.1  # a start or a wait is no matter of messages crossing; weight of a wait
 FAILS_TIMES, FAILS_LEAST = 4.0, 0.55  # set aside at so many times the fleet's failures, and so many at least
 SHY = {Repeat.SAFE: 0.5, Repeat.KEYED: 1.0, Repeat.UNSAFE: 4.0}  # how much faster one that fails has to be
 ASIDE_MS, ASIDE_MOST_MS, ASIDE_SHARE = 1_000.0, 8_000.0, 0.5  # first, longest time aside; part of the fleet
 FRESH_MS, BEYOND = 300.0, 2.0  # what was last heard of room elsewhere counts for so long; slots beyond ours
 COLD_SAFETY, COLD_FIRST = 0.5, 0.25  # parts of the cold budget in use: sizes are unknown, lists differ
 BUSY_MS, IDLE_MS, REWARM_MS = 40.0, 200.0, 500.0  # ticks with and without held jobs, for cold workers
-PROBE_SHARE, PROBE_BURST = 0.1, 4.0  # probes a job and at once, where reports come no other way
+PROBE_POINTS, PROBE_MOST, PROBE_BURST = 0.0015, 0.6, 4.0  # of the goal spent on probes; a job, at once
 WAITING = 0.35  # part of the wait that jobs can afford that admission plans with: it is a mean
 FAR = 0.1  # how much emptier or faster a worker must be to send across zones
+OVER, OVER_FAR = 0.2, 0.05  # parts of its slots sent beyond them to a worker where others' jobs are only seen
 SLOTS_START, SPILL_START = 4.0, 8.0  # of a worker, and tried beyond our part, before anything is known
 ASK_AGAIN_MS, ASK_EACH_MS = 1_500.0, 400.0  # longest wait after a failed call, and that for each scheduler
 TICK, LIST = 0, 1  # timer tokens
@@ -48,13 +50,14 @@
         self.jobs, self.held, self.later = Jobs(), Held(), Later()
         # By tenant: tokens, that is slots of admitted jobs, held or sent; slots of sent jobs.
         self.inflight, self.running = list[float](), list[float]()
-        self.run_ms, self.per_hint = list[float](), list[float]()  # by class: running time, that over hint
-        self.slots, self.kind_slowness = list[float](), list[float]()  # by kind: slots of a worker, its pace
+        self.beliefs = Beliefs()
+        self.run_ms, self.per_hint, self.slots, self.kind_slowness = self.beliefs.by_number()
         self.workers: dict[str, WorkerRecord] = {}
         # Serving workers by id, the same for every scheduler; our arc of this ring; those of it with room.
         self.ring, self.mine, self.with_room = list[WorkerRecord](), list[WorkerRecord](), Pool()
         self.own, self.shared_out_ms = 1.0, 0.0  # slots of our arc; when it was reckoned
         self.spill, self.spill_out = SPILL_START, 0.0  # slots beyond our arc: what we found free, what is out
+        self.worth = Worth()
         self.aside: dict[str, WorkerRecord] = {}
         self.fleet_failures, self.probe_credit = 0.0, PROBE_BURST
         self.dead = 0.0  # the chance that an overdue attempt is dead: its connection fell silent, say
@@ -72,11 +75,13 @@
         lists = self.inflight, self.running, self.run_ms, self.per_hint, self.slots, self.kind_slowness
         for known, begin in zip(lists, self.settings.begin(SLOTS_START), strict=True):
             known.extend(begin[len(known):])
+        self.worth.adopt(self.settings)
         self._share_out()
 
     def _inherit(self, event: Inherited) -> None:
         """Go on from what another process of this scheduler has learned."""
-        self.run_ms, self.per_hint, self.slots, self.kind_slowness = map(list, event.by_number)
+        for known, told in zip(self.beliefs.by_number(), event.by_number, strict=True):
+            known[:] = told
         self.spill, self.fleet_failures, self.dead = event.figures
         for name in event.workers.keys() & self.workers.keys():
             self.workers[name].inherit(event.workers[name])
@@ -85,6 +90,7 @@
     def handle(self, now_ms: float, events: Sequence[Event]) -> list[Action]:
         """Take the events of one moment, in order, and decide."""
         self.now, self.actions = now_ms, []
+        self.worth.fade(now_ms)
         if not self.asked:  # jitter: the list service must not get all schedulers at once
             self.asked = True
             self.actions.append(SetTimer(self.random.random() * 0.3 * self.settings.ask_every_ms, LIST))
@@ -143,7 +149,7 @@
         if event.job in self.jobs:
             return  # told twice it must not take tokens twice
         cls = self.settings.classes[event.job_class]
-        size = event.hint_ms * self.per_hint[event.job_class] or self.run_ms[event.job_class]
+        size = self.beliefs.size_ms(event)
         # On a client's own retry the aim runs from its first try.
         born = self.now - (max(0.0, cls.deadline_ms - event.patience_ms) if event.is_retry else 0.0)
         grows = max(0.0, cls.stretch - 1.0) * size
@@ -151,13 +157,15 @@
         end, tick = self.now + event.lasts_ms, self.settings.resolution_ms
         useful = min(max(useful, end - 1.5 * size if cls.late_share else 0.0), end - 4.0 * tick)
         tenant = min(event.tenant, len(self.shares) - 1)
-        job = JobRecord(event, cls, tenant, max(1.0, size), wait, born, useful, self.settings.max_attempts)
+        self.worth.arrived(event, cls, size)
+        job = JobRecord(event, cls, tenant, size, wait, born, useful, self.settings.max_attempts)
         if self.now > useful or not (self._admit(job) or self._push_out(job)):
             self._refuse(event.job)
             return
         self.jobs[event.job] = job
         self.inflight[tenant] += event.slots
-        self.probe_credit = min(PROBE_BURST, self.probe_credit + PROBE_SHARE)
+        share = min(PROBE_MOST, PROBE_POINTS / max(self.settings.probe_price, 1e-9))
+        self.probe_credit = min(PROBE_BURST, self.probe_credit + share)
         self._wait_or_place(job)
 
     def _close(self, job: JobRecord) -> None:
@@ -177,11 +185,12 @@
 
     def _dispatch(self) -> None:
         """Send held jobs while workers have room: tenants within their reservation first, then by worth."""
-        blocked, heads = dict[int, float](), list(self.held)  # by kind: so many slots were not to be had
+        blocked = dict[tuple[int, bool], float]()  # by kind and crossing: so many slots were not to be had
+        heads = list(self.held)
         while heads:
             best = max(heads, key=lambda key: self._rank(self.held[key][0]))
             job = self.held[best][0]
-            slots, kind = job.event.slots, job.cls.kind
+            slots, kind = job.event.slots, (job.cls.kind, self._crosses(job))
             if slots < blocked.get(kind, math.inf) and self._place(job):
                 self.held.take(job)
                 if best not in self.held:
@@ -193,8 +202,8 @@
 
     def _rank(self, job: JobRecord) -> tuple[bool, float]:
         slots, late = job.event.slots, self.now - job.born_ms > job.wait_ms
-        worth = job.cls.worth * (job.cls.late_share if late else 1.0)
-        worth /= 1.0 if self.settings.worth_by_work else job.size_ms * max(1.0, slots)
+        worth = self.worth.gain(job.event.job_class, job.cls, job.size_ms, late)
+        worth /= job.size_ms * max(1.0, slots)
         reserved = max(self._reserved(job.tenant, self.own + self.spill), slots)
         return self.running[job.tenant] + slots <= reserved, worth
 
@@ -211,9 +220,10 @@
         """Send the job to a worker with room: in our arc of the ring first, then elsewhere."""
         worker, slots = self._untried(job) or self._best(job, own=True), job.event.slots
         spilled = worker is None or not worker.part
-        if worker is None and (not self.spill_out or self.spill_out + slots <= self.spill):
-            worker = self._best(job, own=False)
-        if worker is None:  # late on a cold worker of ours is better than not at all, and warms it
+        if worker is None and self._crosses(job):
+            beyond = not self.spill_out or self.spill_out + slots <= self.spill
+            worker = self._best(job, own=False) if beyond else None
+        if worker is None:  # late, on a cold worker of ours
             worker, spilled = self._best(job, own=True, strict=False), False
         if worker is None:
             return False
@@ -229,10 +239,15 @@
         self._touch(worker)
         return True
 
+    def _crosses(self, job: JobRecord) -> bool:
+        """Whether the job may go beyond our part: where that crosses zones, only if it pays."""
+        return not self.zoned or self.worth.pays_crossing(job.event.job_class, job.cls, job.size_ms)
+
     def _untried(self, job: JobRecord) -> WorkerRecord | None:
         """A worker that has just started, for one safe job, late or not: it looks too cold to be used."""
         cost, rules = job.event.slots * job.size_ms * self.settings.instances, self.settings
-        return next((new for new in self.ring if not new.tried and new.warm < 1.0 and cost <= (
+        among = self.mine if self.zoned else self.ring
+        return next((new for new in among if not new.tried and new.warm < 1.0 and cost <= (
             COLD_FIRST * rules.overload_factor * self.slots[new.kind] * new.warm * rules.fall_ms)
             and job.cls.kind in (-1, new.kind)), None) if job.cls.repeat is Repeat.SAFE else None
 
@@ -257,7 +272,10 @@
         if worker.trial:  # one job at a time shows whether it is well again
             return 0.0 if worker.slots_out > 0 else slots
         if own:
-            return round(max(1.0, worker.part * slots)) - worker.slots_out
+            own_room = round(max(1.0, worker.part * slots)) - worker.slots_out
+            return own_room - taken(worker, slots) + OVER * slots if self.settings.sees_others else own_room
+        if self.settings.sees_others and worker.seen_ms > 0.0:
+            return slots * (1.0 + OVER_FAR) - worker.slots_out - taken(worker, slots)
         if not worker.slots_out and self.now - worker.reported_ms >= FRESH_MS:
             return math.inf
         fresh = self.now - worker.reported_ms < FRESH_MS
@@ -276,9 +294,10 @@
             return False
         if job.attempts and (job.is_out_at(worker) or not self._in_group(job, job.maybe_ran(), worker)):
             return False
-        in_time = job.size_ms <= worker.warm * (cls.objective_ms + cls.stretch * job.size_ms)
+        in_time = job.size_ms <= worker.warm * worker.pace() * (cls.objective_ms + cls.stretch * job.size_ms)
         cost = event.slots * job.size_ms
-        return worker.warm == 1.0 or ((in_time or not strict) and self._cold_tokens(worker, cost) >= cost)
+        late = not strict and worker.warm < 1.0  # on a cold one that is better than not at all, and warms it
+        return (in_time or late) and (worker.warm == 1.0 or self._cold_tokens(worker, cost) >= cost)
 
     def _touch(self, worker: WorkerRecord) -> None:
         """Keep the list of workers with room in step, at a cost that does not depend on the fleet."""
@@ -332,6 +351,8 @@
             if not job.out:  # answered before, by another attempt or because the client left
                 del self.jobs[event.job]
         elif event.closed:
+            if event.result is Result.OK and self.beliefs.is_in_time(job, attempt, self.now):
+                self.worth.in_time(job.event.job_class, job.cls, job.size_ms)
             self._close(job)
             if self.settings.cancel:  # a copy that lost; where that stops its work, its slots are free sooner
                 self.actions += [Cancel(event.job, n) for n, a in enumerate(job.attempts) if not a.result]
@@ -351,26 +372,6 @@
         self.running[job.tenant] -= slots
         self.spill_out -= slots * attempt.spilled
 
-    def _look(self) -> None:
-        """Learn slots from what runs and what waits at the workers, whatever their reports show free.
-
-        A worker under load never reports many free. So many as run there it has; where a job waits, it has
-        fewer than that needs, but for other nodes' jobs. One that was overtaken waits for no slots.
-        """
-        runs, waits = dict[WorkerRecord, float](), dict[WorkerRecord, float]()
-        for job, _, attempt in self.jobs.out():
-            worker, slots = attempt.worker, job.event.slots
-            if attempt.overdue or self.now - (attempt.started_ms or attempt.sent_ms) < SETTLED_MS:
-                continue
-            if attempt.started_ms:
-                runs[worker] = runs.get(worker, 0.0) + slots
-            elif attempt.sent_ms >= worker.started_ms:
-                waits[worker] = min(slots, waits.get(worker, math.inf))
-        for worker, least in runs.items():
-            known, most = self.slots[worker.kind], least + waits.get(worker, math.inf) - 1.0
-            change = SETTLE * min(0.0, most - known) if self.settings.instances == 1 else 0.0
-            self.slots[worker.kind] = max(least, known + change)
-
     def _doubt(self) -> None:
         """Look for attempts that are overdue, and give up those that have shown no sign of life.
 
@@ -407,7 +408,7 @@
         """A start tells whether the worker had room as we thought."""
         if not (found := self.jobs.attempt(event)):
             return
-        found[1].heard_ms = self.now
+        self.beliefs.noted(*found, event.fraction, self.now)
         if event.fraction > 0 or found[1].started_ms or found[1].overdue:
             return
         found[1].started_ms, delay = self.now, self.now - found[1].sent_ms
@@ -420,12 +421,14 @@
 
     def _spilled(self, job: JobRecord, attempt: AttemptRecord, had_room: bool) -> None:
         """What others leave free: grows with work taken at once, falls where it was full or had to wait."""
+        if self.settings.sees_others:
+            return  # what others leave free is seen
         change = (1.0 if had_room else -0.5) * job.event.slots * attempt.spilled
         self.spill = min(max(0.0, self.spill + change), max(self.slots) * len(self.ring))
 
     def _learn(self, job: JobRecord, attempt: AttemptRecord, result: Result) -> None:
         """Class means, the worker's pace and its failures, from one outcome."""
-        worker, index = attempt.worker, job.event.job_class
+        worker = attempt.worker
         if result is Result.FULL:
             worker.full_until = self.now + max(self.run_ms) / max(1.0, self.slots[worker.kind])
             self._spilled(job, attempt, False)
@@ -438,13 +441,7 @@
             return
         worker.trial = worker.trial and worker.failures > FAILS_LEAST / 2.0
         worker.trials_failed *= worker.trial
-        took = max(1.0, self.now - (attempt.started_ms or attempt.sent_ms))
-        pace = max(-3.0, min(3.0, math.log(took / job.size_ms)))
-        worker.slowness += PACE * (pace - worker.slowness)
-        self.kind_slowness[worker.kind] += LEARN / 5.0 * (pace - self.kind_slowness[worker.kind])
-        self.run_ms[index] += LEARN * (took - self.run_ms[index])
-        if job.event.hint_ms > 0:
-            self.per_hint[index] += LEARN * (min(took / job.event.hint_ms, 10.0) - self.per_hint[index])
+        self.beliefs.served(job, attempt, self.now)
         if not self.settings.tells_start:
             self._spilled(job, attempt, worker.queued < 1.0)
 
@@ -468,7 +465,7 @@
     def _report(self, worker: WorkerRecord, report: Mapping[str, float] | None) -> None:
         if report and (free := report.get(self.settings.free_slots_field)) is not None:
             worker.free, worker.queued, worker.reported_ms = free, report.get("queued", 0.0), self.now
-            self.slots[worker.kind] = max(self.slots[worker.kind], float(round(free * 0.95)))  # it is noisy
+            self.beliefs.reported(worker, free, self.now, self.settings)
 
     def _probed(self, event: ProbeEnded) -> None:
         if event.worker in self.workers:
@@ -490,9 +487,13 @@
                 changed = self._drop(name)
         for row in event.workers:
             worker, serving = self.workers.get(row.id), row.state is State.SERVING
+            kind = min(row.kind, len(self.slots) - 1)
             if worker is not None and worker.serving == serving and worker.row.started_ms == row.started_ms:
+                if self.settings.live_weights:
+                    self.beliefs.weighed(worker, row.weight, self.now)
                 continue  # only its weight changed
-            changed, kind = self._drop(row.id), min(row.kind, len(self.slots) - 1)
+            changed = self._drop(row.id)
+            self.beliefs.weighed(None, row.weight, self.now, kind)
             if row.state is not State.GONE:
                 self.workers[row.id] = WorkerRecord(row, kind, row.zone, serving, self.kind_slowness[kind])
         if changed:
@@ -508,20 +509,9 @@
 
     def _share_out(self) -> None:
         """Give every scheduler an equal arc of the ring; a cold worker counts by its least warmth by now."""
-        rules, before, self.shared_out_ms, self.mine = self.settings, self.mine, self.now, []
-        for worker in self.ring:
-            since = worker.row.started_ms or -1e15  # 0: long past
-            age = (self.now - since) / max(1.0, rules.cold_ms)
-            worker.warm = min(1.0, max(0.01, rules.cold_share + (1.0 - rules.cold_share) * age))
-        for worker in before:
-            worker.part = 0.0
-        arc = sum([worker.warm for worker in self.ring]) / rules.instances
-        low, end = rules.number * arc, 0.0
-        for worker in self.ring:
-            start, end = end, end + worker.warm
-            if end > low and start < low + arc:
-                worker.part = (min(end, low + arc) - max(start, low)) / worker.warm
-                self.mine.append(worker)
+        before, self.shared_out_ms = self.mine, self.now
+        self.mine = share_out(self.ring, self.settings, self.now)
+        self.zoned = self.settings.cross_zone_price > 0.0 and len({worker.zone for worker in self.ring}) > 1
         for worker in before:
             self._touch(worker)
         self._refresh()
@@ -529,11 +519,17 @@
     def _refresh(self) -> None:
         """What time alone changes: workers no longer full, aside or cold."""
         self.aside = {name: worker for name, worker in self.aside.items() if self.now < worker.aside_until}
-        self.own = 0.0
-        for worker in self.mine:
-            self._touch(worker)
-            if self.now >= worker.aside_until:
-                self.own += worker.part * self.slots[worker.kind] * worker.warm
+        self.own, free = 0.0, 0.0
+        for worker in self.ring:
+            self.beliefs.passed(worker, self.now)
+            if worker.part:
+                self._touch(worker)
+                if self.now >= worker.aside_until:
+                    self.own += worker.part * self.beliefs.capacity(worker)
+            elif self.settings.sees_others:
+                free += min(max(0.0, self._room(worker, False)), self.slots[worker.kind])
+        if self.settings.sees_others:
+            self.spill = self.spill_out + free / max(1, self.settings.instances - 1)
 
     def _timer(self, event: TimerFired) -> None:
         """Ask for the list, or keep house; a timer that was overtaken by an earlier one is ignored."""
@@ -544,11 +540,14 @@
             self._sweep()
             self._doubt()
             if self.settings.tells_start:
-                self._look()
+                self.beliefs.look(self.jobs.out(), self.now, self.settings)
             (self._share_out if self.now > self.shared_out_ms + REWARM_MS else self._refresh)()
             while self.settings.must_probe and self.probe_credit >= 1.0 and self.ring:
                 self.probe_credit -= 1.0
-                self.actions.append(Probe(self.random.choice(self.ring).row.id))
+                among = self.random.sample(self.ring, min(SAMPLE, len(self.ring)))
+                worker = min(among, key=lambda other: other.probed_ms)
+                worker.probed_ms = self.now
+                self.actions.append(Probe(worker.row.id))
         elif job := self.later.take(event.token):
             if not job.out:  # its back-off is over
                 self._wait_or_place(job)
--- a/pipitledge/settings.py
+++ b/pipitledge/settings.py
@@ -24,7 +24,7 @@
 def settings_from(raw: Mapping[str, Any]) -> api.Settings:
     """Translate the settings object; absent keys keep the defaults stated in Settings."""
     allow, rules, family = raw.get("permissions", {}), raw.get("rules", {}), raw.get("specifics", {})
-    report = raw.get("report", {})
+    report, goal, prices = raw.get("report", {}), raw.get("goal", {}), raw.get("prices", {})
     extras = {"x0": family.get("report_x0", ""), "x1": family.get("report_x1", "")}
     free = [name for name, meaning in extras.items() if "slot" in meaning]
     source = report.get("source", "none")
@@ -68,6 +68,10 @@
         max_retry_after_ms=allow.get("max_retry_after_ms", 0.0),
         over_share_worth=raw.get("over_share_worth", 1.0),
         worth_by_work=raw.get("value_by") == "work",
+        goal=api.Goal(goal.get("whole", 1.0), goal.get("worst_class", 0.0), goal.get("worst_tenant", 0.0)),
+        cross_zone_price=prices.get("cross_zone", 0.0),
+        probe_price=prices.get("probe", 0.0),
+        live_weights=raw.get("weights") == "live",
         report_fields=tuple(REPORTS.get(name, name) for name in fields),
         reports_with_answers=source == "answers",
         free_slots_field=free[0] if free else "",
