--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -26,6 +26,7 @@
 from pipitledge.node.signals import Signals
 from pipitledge.node.succession import Succession, claim
 from pipitledge.policy import Policy
+from pipitledge.settings import unknown
 
 if TYPE_CHECKING:  # a node that does not print must not pay for it
     from pipitledge.ipp.node import PrintSide
@@ -83,6 +84,7 @@
                 return
             old, told = told, new
             household.adopt(new)
+            tell_unknown(unknown(new.raw.get("settings", {})))
             counters.add("config.reloaded")
             log("config", discovery="{}:{}".format(*new.discovery), moved=new.discovery != old.discovery,
                 settings="changed" if settings else "same", classes=",".join(map(bytes.decode, new.names.classes)),
@@ -98,6 +100,16 @@
     except config.ConfigError as fault:
         log("config", error=fault)
         return 2
+    nobody_knows: set[str] = set()
+
+    def tell_unknown(places: list[str]) -> None:
+        """Say once of each setting that nothing here knows that it has no effect: a newer kind does no harm."""
+        if new := [place for place in places if place not in nobody_knows]:
+            nobody_knows.update(new)
+            counters.add("config.unknown", len(new))
+            log("config", unknown=",".join(new))
+
+    tell_unknown(unknown(told.raw.get("settings", {})))
     plans = PlanFile(told, scheduler, clock, counters, log)
     if not plans.start():
         return 2
--- a/pipitledge/beliefs.py
+++ b/pipitledge/beliefs.py
@@ -17,6 +17,9 @@
 SETTLED_MS, SETTLE = 20.0, 0.1  # a start or a wait is no matter of messages crossing; weight of a wait
 SEEN, SEEN_LATE_MS = 0.3, 1_000.0  # weight of one sight of what others hold; about how old it is when it comes
 RECOVER_MS = 8_000.0  # in which the slowness of an idle worker is forgotten for the most part
+GROW, SHRINK = 1.0, 0.97  # slots of a worker at a full round of jobs; a sign that it has fewer
+WELL, CROWDED = 0.2, 0.35  # so little slower than at its best a worker may have more slots, so much it is crowded
+BEST_DOWN, BEST_UP = 0.2, 0.002  # how its best moves
 SLOWER = 0.5  # so much slower than its kind, as a logarithm, a worker is before it counts for less
 
 
@@ -27,6 +30,7 @@
         """Know nothing; the lists are filled as settings name classes and kinds."""
         self.run_ms, self.per_hint = list[float](), list[float]()  # by class: running time, that over hint
         self.slots, self.kind_slowness = list[float](), list[float]()  # by kind: slots of a worker, its pace
+        self.best: dict[int, float] = {}  # by kind: about the least slowness, where slots have to be felt
         self.nominal: dict[int, float] = {}  # by kind: the largest weight that was told
 
     def by_number(self) -> tuple[list[float], list[float], list[float], list[float]]:
@@ -39,7 +43,7 @@
         """How long a job runs at the yardstick's speed, as far as hint and class tell."""
         return max(1.0, event.hint_ms * self.per_hint[event.job_class] or self.run_ms[event.job_class])
 
-    def served(self, job: JobRecord, attempt: AttemptRecord, now_ms: float) -> None:
+    def served(self, job: JobRecord, attempt: AttemptRecord, now_ms: float, settings: Settings) -> None:
         """Learn from how long an attempt took that served."""
         worker, index = attempt.worker, job.event.job_class
         took = max(1.0, now_ms - (attempt.started_ms or attempt.sent_ms))
@@ -48,6 +52,8 @@
         self.run_ms[index] += LEARN * (took - self.run_ms[index])
         if job.event.hint_ms > 0:
             self.per_hint[index] += LEARN * (min(took / job.event.hint_ms, 10.0) - self.per_hint[index])
+        if not settings.free_slots_field and not settings.tells_start and worker.warm == 1.0:
+            self._felt(worker, job.event.slots)
 
     def is_in_time(self, job: JobRecord, attempt: AttemptRecord, now_ms: float) -> bool:
         """Whether a job that ends now is in time. Its own work is told by the hint, or else by how long it ran."""
@@ -127,6 +133,32 @@
             nominal = self.nominal[worker.kind] = max(weight, self.nominal.get(worker.kind, 0.0))
             self._seen(worker, self.slots[worker.kind] * (nominal / weight - 1.0), now_ms)
 
+    # Where neither free slots nor starts are told, a worker's slots are felt: full, it takes jobs and runs them no
+    # slower, it has more; it slows down or turns jobs away, it has fewer. With starts, these tell it at once.
+
+    def _felt(self, worker: WorkerRecord, slots: float) -> None:
+        kind = worker.kind
+        best = self.best.setdefault(kind, worker.slowness)
+        self.best[kind] += (BEST_DOWN if worker.slowness < best else BEST_UP) * (worker.slowness - best)
+        slower, full = worker.slowness - self.best[kind], worker.part * self.slots[kind] - 1.0
+        if slower > CROWDED:
+            self.slots[kind] = max(1.0, self.slots[kind] * SHRINK)
+        elif slower < WELL and worker.slots_out + slots >= full:
+            self.slots[kind] += GROW / self.slots[kind]
+
+    def started(self, worker: WorkerRecord, at_once: bool, told: str) -> None:
+        """A job started: at once in a worker that we believe full, or after a wait. `told`: what tells free slots."""
+        if not told and worker.warm == 1.0:
+            if not at_once:
+                self.crowded(worker, told)
+            elif worker.slots_out >= worker.part * self.slots[worker.kind] - 1.0:
+                self.slots[worker.kind] += GROW / self.slots[worker.kind]
+
+    def crowded(self, worker: WorkerRecord, told: str) -> None:
+        """A worker turned a job away, or let it wait: it has no more slots than we believe, where none are told."""
+        if not told:
+            self.slots[worker.kind] = max(1.0, self.slots[worker.kind] * SHRINK)
+
     def _seen(self, worker: WorkerRecord, held: float, now_ms: float) -> None:
         worker.seen_ms = now_ms
         worker.others += SEEN * (held - worker.lagged - worker.others)
--- a/pipitledge/emulator/virtual.py
+++ b/pipitledge/emulator/virtual.py
@@ -152,6 +152,14 @@
 
     # ---- in the place of the server links
 
+    def dispatch_of(self, execution: Execution) -> Dispatch:
+        """The node that an execution belongs to."""
+        return self.dispatch
+
+    def wire_ms(self, execution: Execution) -> float:
+        """One way between an execution's node and its worker."""
+        return WIRE_MS
+
     def start(self, execution: Execution) -> None:
         """Carry out an execution: what its fault makes of it."""
         wanted: Wanted = execution.query.passage
@@ -167,29 +175,32 @@
         execution.wake = lambda: self.called_off(job)
         # The node gives up at the execution's deadline, whatever the worker does.
         self.timers.at(execution.deadline_ms, lambda: self.given_up(job, Ending.OUT_OF_TIME))
-        early = {Fault.REFUSE: (WIRE_MS, Ending.DIAL_REFUSED), Fault.HANG: (DIAL_MS, Ending.DIAL_TIMEOUT),
-                 Fault.BREAK_BEFORE: (WIRE_MS, Ending.BROKEN_BEFORE_SENT),
-                 Fault.FULL: (2 * WIRE_MS, Ending.HANDED_BACK)}
+        wire = self.wire_ms(execution)
+        early = {Fault.REFUSE: (wire, Ending.DIAL_REFUSED), Fault.HANG: (DIAL_MS, Ending.DIAL_TIMEOUT),
+                 Fault.BREAK_BEFORE: (wire, Ending.BROKEN_BEFORE_SENT),
+                 Fault.FULL: (2 * wire, Ending.HANDED_BACK)}
         if fault in early:
             delay, ending = early[fault]
             self.at(delay, lambda: self.end(job, ending))
             return
-        self.at(WIRE_MS, lambda: self.arrive(worker, job))
+        self.at(wire, lambda: self.arrive(worker, job))
         if fault is Fault.BREAK_AFTER:
-            self.at(2 * WIRE_MS, lambda: self.end(job, Ending.BROKEN_AFTER_SENT))
+            self.at(2 * wire, lambda: self.end(job, Ending.BROKEN_AFTER_SENT))
         elif fault is Fault.BREAK_AMID:
-            self.at(WIRE_MS + wanted.work_ms / 2, lambda: self.end(job, Ending.BROKEN_AFTER_SENT))
+            self.at(wire + wanted.work_ms / 2, lambda: self.end(job, Ending.BROKEN_AFTER_SENT))
 
     def arrive(self, worker: Worker, job: Job) -> None:
         """The request's last byte came."""
         if not worker.offer(self.time, job):
-            self.at(WIRE_MS, lambda: self.end(job, Ending.HANDED_BACK))
+            self.at(self.wire_ms(self.hosts[job]) if job in self.hosts else 0.0,
+                    lambda: self.end(job, Ending.HANDED_BACK))
         self.follow(worker)
 
     def follow(self, worker: Worker) -> None:
         """Pass on what a worker said, and look again when something is due."""
         for said in worker.take_said():
-            self.at(WIRE_MS, lambda said=said: self.hear(worker, said))  # type: ignore[misc]
+            wire = self.wire_ms(self.hosts[said.job]) if said.job in self.hosts else WIRE_MS
+            self.at(wire, lambda said=said: self.hear(worker, said))  # type: ignore[misc]
         name, due = worker.machine.name, worker.due()
         if due < self.waking.get(name, math.inf):
             self.waking[name] = due
@@ -210,7 +221,7 @@
         if said.state in ENDS:
             self.end(said.job, ENDS[said.state], worker.report(self.time))
         else:
-            self.dispatch.noted(execution, said.share if said.state == "running" else 0.0)
+            self.dispatch_of(execution).noted(execution, said.share if said.state == "running" else 0.0)
 
     def end(self, job: Job, ending: Ending, report: dict[str, float] | None = None) -> None:
         """The one ending of an execution."""
@@ -218,14 +229,15 @@
         if execution is None:
             return
         job.attempt.ended_ms, job.attempt.never_ran = self.time, ending in NEVER_RAN
-        self.dispatch.ended(execution, ending, report, job.id.encode() if ending is Ending.SERVED else b"")
+        result = job.id.encode() if ending is Ending.SERVED else b""
+        self.dispatch_of(execution).ended(execution, ending, report, result)
 
     def given_up(self, job: Job, ending: Ending) -> None:
         """The node stops waiting for an execution; the job may run on."""
         if job in self.hosts:
             execution = self.hosts[job]
             self.end(job, ending)
-            self.at(WIRE_MS, lambda: self.workers[execution.worker].cancel(self.time, job))
+            self.at(self.wire_ms(execution), lambda: self.workers[execution.worker].cancel(self.time, job))
 
     def called_off(self, job: Job) -> None:
         """The dispatch woke the link: the module cancelled."""
--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -44,6 +44,7 @@
     MOOT = "moot"
 
 
+SAVED = 0.1  # part of a cold worker's budget of a window that may be saved beyond the next job
 FIRST_LATER = 2  # timer tokens from here on are those of Later
 NEVER_RAN = frozenset({Result.FULL, Result.CONNECT_FAILED, Result.MOOT})
 
@@ -457,8 +458,7 @@
             self.cold_tokens, self.cold_ms = -random.random() * cost, self.row.started_ms
         self.cold_tokens += rate * (now_ms - self.cold_ms)
         self.cold_ms = now_ms
-        if self.cold_tokens > cost + rate * window_ms:  # unused it lapses: saved up it would be a burst
-            self.cold_tokens = rate * window_ms
+        self.cold_tokens = min(self.cold_tokens, cost + SAVED * rate * window_ms)  # saved up it would be a burst
         return self.cold_tokens
 
     def book(self, slots: float, memory: float) -> None:
--- a/pipitledge/node/settings_file.py
+++ b/pipitledge/node/settings_file.py
@@ -22,9 +22,15 @@
     stated = raw.get("settings")
     if not isinstance(stated, Mapping):
         raise Broken("settings: no object")
-    lanes = stated.get("lanes", [])
-    for index, lane in enumerate(lanes if isinstance(lanes, list) else []):
-        if isinstance(lane, Mapping) and "deadline_ms" in lane:
+    lanes = stated.get("lanes")
+    if not isinstance(lanes, list) or not lanes:  # without its classes a node can take nothing
+        raise Broken("settings.lanes: " + ("missing" if lanes is None else "no class" if lanes == [] else "no list"))
+    for index, lane in enumerate(lanes):
+        if not isinstance(lane, Mapping):
+            raise Broken(f"settings.lanes[{index}]: no object")
+        if not lane.get("name"):
+            raise Broken(f"settings.lanes[{index}].name: missing")
+        if "deadline_ms" in lane:
             _positive(lane["deadline_ms"], f"settings.lanes[{index}].deadline_ms")
     allowed, limits = stated.get("permissions"), raw.get("limits")
     if isinstance(allowed, Mapping) and "max_attempts" in allowed:
--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -29,7 +29,7 @@
 SHY = {Repeat.SAFE: 0.5, Repeat.KEYED: 1.0, Repeat.UNSAFE: 4.0}  # how much faster one that fails has to be
 ASIDE_MS, ASIDE_MOST_MS, ASIDE_SHARE = 1_000.0, 8_000.0, 0.5  # first, longest time aside; part of the fleet
 FRESH_MS, BEYOND = 300.0, 2.0  # what was last heard of room elsewhere counts for so long; slots beyond ours
-COLD_SAFETY, COLD_FIRST = 0.5, 0.25  # parts of the cold budget in use: sizes are unknown, lists differ
+COLD_SAFETY, COLD_FIRST, COLD_JOB = 0.5, 0.25, 0.12  # parts of the cold budget: of sizes we only guess
 BUSY_MS, IDLE_MS, REWARM_MS = 40.0, 200.0, 500.0  # ticks with and without held jobs, for cold workers
 PROBE_POINTS, PROBE_MOST, PROBE_BURST = 0.0015, 0.6, 4.0  # of the goal spent on probes; a job, at once
 WAITING = 0.35  # part of the wait that jobs can afford that admission plans with: it is a mean
@@ -52,14 +52,12 @@
         self.inflight, self.running = list[float](), list[float]()
         self.beliefs = Beliefs()
         self.run_ms, self.per_hint, self.slots, self.kind_slowness = self.beliefs.by_number()
-        self.workers: dict[str, WorkerRecord] = {}
+        self.workers, self.aside = dict[str, WorkerRecord](), dict[str, WorkerRecord]()
         # Serving workers by id, the same for every scheduler; our arc of this ring; those of it with room.
         self.ring, self.mine, self.with_room = list[WorkerRecord](), list[WorkerRecord](), Pool()
         self.own, self.shared_out_ms = 1.0, 0.0  # slots of our arc; when it was reckoned
         self.spill, self.spill_out = SPILL_START, 0.0  # slots beyond our arc: what we found free, what is out
-        self.worth = Worth()
-        self.aside: dict[str, WorkerRecord] = {}
-        self.fleet_failures, self.probe_credit = 0.0, PROBE_BURST
+        self.worth, self.fleet_failures, self.probe_credit = Worth(), 0.0, PROBE_BURST
         self.dead = 0.0  # the chance that an overdue attempt is dead: its connection fell silent, say
         self.tick_ms, self.due_ms = math.inf, math.inf  # next tick; when the first held job must be ended
         self.asked, self.list_failures = not settings.must_ask, 0
@@ -72,6 +70,7 @@
     def _adopt(self, event: SettingsChanged) -> None:
         """Take settings, the first or others: numbers keep their meaning, and what was learned by them."""
         self.settings, self.shares = event.settings, event.settings.shares()
+        self.probe_share = min(PROBE_MOST, PROBE_POINTS / max(self.settings.probe_price, 1e-9))
         lists = self.inflight, self.running, self.run_ms, self.per_hint, self.slots, self.kind_slowness
         for known, begin in zip(lists, self.settings.begin(SLOTS_START), strict=True):
             known.extend(begin[len(known):])
@@ -96,8 +95,7 @@
             self.actions.append(SetTimer(self.random.random() * 0.3 * self.settings.ask_every_ms, LIST))
         for event in events:
             self.handlers[type(event)](event)
-        if self.held:
-            self._dispatch()
+        self._dispatch()
         wanted = min(self.due_ms, now_ms + BUSY_MS) if self.held else now_ms + IDLE_MS
         wanted = max(wanted, now_ms + self.settings.resolution_ms)  # never one that is set already put off
         if wanted < self.tick_ms:
@@ -164,8 +162,7 @@
             return
         self.jobs[event.job] = job
         self.inflight[tenant] += event.slots
-        share = min(PROBE_MOST, PROBE_POINTS / max(self.settings.probe_price, 1e-9))
-        self.probe_credit = min(PROBE_BURST, self.probe_credit + share)
+        self.probe_credit = min(PROBE_BURST, self.probe_credit + self.probe_share)
         self._wait_or_place(job)
 
     def _close(self, job: JobRecord) -> None:
@@ -246,10 +243,10 @@
     def _untried(self, job: JobRecord) -> WorkerRecord | None:
         """A worker that has just started, for one safe job, late or not: it looks too cold to be used."""
         cost, rules = job.event.slots * job.size_ms * self.settings.instances, self.settings
-        among = self.mine if self.zoned else self.ring
-        return next((new for new in among if not new.tried and new.warm < 1.0 and cost <= (
-            COLD_FIRST * rules.overload_factor * self.slots[new.kind] * new.warm * rules.fall_ms)
-            and job.cls.kind in (-1, new.kind)), None) if job.cls.repeat is Repeat.SAFE else None
+        bound = COLD_FIRST * rules.overload_factor * rules.fall_ms
+        return next((new for new in self.ring if not new.tried and new.warm < 1.0
+                     and cost <= bound * self.slots[new.kind] * new.warm and job.cls.kind in (-1, new.kind)
+                     and (new.part or not self.zoned)), None) if job.cls.repeat is Repeat.SAFE else None
 
     def _best(self, job: JobRecord, own: bool, strict: bool = True) -> WorkerRecord | None:
         """The roomiest and fastest of a small random sample: all schedulers read the same late report."""
@@ -272,8 +269,8 @@
         if worker.trial:  # one job at a time shows whether it is well again
             return 0.0 if worker.slots_out > 0 else slots
         if own:
-            own_room = round(max(1.0, worker.part * slots)) - worker.slots_out
-            return own_room - taken(worker, slots) + OVER * slots if self.settings.sees_others else own_room
+            free = round(max(1.0, worker.part * slots)) - worker.slots_out
+            return free - taken(worker, slots) + OVER * slots if self.settings.sees_others else free
         if self.settings.sees_others and worker.seen_ms > 0.0:
             return slots * (1.0 + OVER_FAR) - worker.slots_out - taken(worker, slots)
         if not worker.slots_out and self.now - worker.reported_ms >= FRESH_MS:
@@ -307,8 +304,10 @@
     def _cold_tokens(self, worker: WorkerRecord, cost: float) -> float:
         """Slot-ms we may send a cold worker now: our part of what all together may, accrued in fractions."""
         rules = self.settings
-        rate = COLD_SAFETY * rules.overload_factor * self.slots[worker.kind] * worker.warm * worker.part
-        return worker.accrue(rate, rules.fall_ms, cost, self.random, self.now)
+        whole = rules.overload_factor * self.slots[worker.kind] * worker.warm
+        if cost > COLD_JOB * whole * rules.fall_ms:
+            return 0.0  # a few of such jobs, from as many nodes at once, are a burst by themselves
+        return worker.accrue(COLD_SAFETY * whole * worker.part, rules.fall_ms, cost, self.random, self.now)
 
     # ---- attempts
 
@@ -379,10 +378,10 @@
         one's slots and tokens that part is free which such ones prove dead, in eighths to keep sums even. One
         that later sends passed by PASSED_MS, where jobs start in order, is dead: to connect takes less.
         """
-        notes = self.settings.progress_ms if self.settings.tells_start and self.settings.cancel else math.inf
+        rules, notes = self.settings, self.settings.progress_ms or math.inf
         for job, number, attempt in self.jobs.out():
             worker, expected = attempt.worker, OVERDUE * job.size_ms * math.exp(attempt.worker.slowness)
-            since, passed = attempt.started_ms or attempt.sent_ms, self.settings.in_order and (
+            since, passed = attempt.started_ms or attempt.sent_ms, rules.in_order and (
                 attempt.heard_ms == attempt.sent_ms < worker.started_ms - PASSED_MS)
             if not attempt.overdue and (passed or self.now - since > OVERDUE_MS + expected):
                 attempt.overdue, attempt.freed = True, 1.0 if passed else round(self.dead * 8.0) / 8.0
@@ -393,7 +392,8 @@
                 if attempt.freed and not passed:  # all of a worker that is cut off will be overdue
                     self._judge(worker, 1.0, JUDGE * self.dead)
                 self._touch(worker)
-            silent = 0.0 if passed and job.cls.repeat is not Repeat.UNSAFE else SILENT * notes
+            paced = SILENT * notes if rules.cancel and (rules.tells_start or attempt.share) else math.inf
+            silent = 0.0 if passed and job.cls.repeat is not Repeat.UNSAFE else paced
             if self.now - attempt.heard_ms > silent + SILENT_MS and not attempt.cancelled:
                 attempt.cancelled = True
                 self.actions.append(Cancel(job.event.job, number))
@@ -414,6 +414,7 @@
         found[1].started_ms, delay = self.now, self.now - found[1].sent_ms
         found[1].worker.started_ms = max(found[1].worker.started_ms, found[1].sent_ms)
         had_room = delay < 0.1 * self.run_ms[found[0].event.job_class]
+        self.beliefs.started(found[1].worker, had_room, self.settings.free_slots_field)
         if found[1].spilled:  # it tells more of room there than a report: it is of now
             found[1].worker.free = max(1.0, found[1].worker.free) + 1.0 if had_room else 0.0
             found[1].worker.reported_ms = self.now
@@ -421,8 +422,6 @@
 
     def _spilled(self, job: JobRecord, attempt: AttemptRecord, had_room: bool) -> None:
         """What others leave free: grows with work taken at once, falls where it was full or had to wait."""
-        if self.settings.sees_others:
-            return  # what others leave free is seen
         change = (1.0 if had_room else -0.5) * job.event.slots * attempt.spilled
         self.spill = min(max(0.0, self.spill + change), max(self.slots) * len(self.ring))
 
@@ -431,6 +430,7 @@
         worker = attempt.worker
         if result is Result.FULL:
             worker.full_until = self.now + max(self.run_ms) / max(1.0, self.slots[worker.kind])
+            self.beliefs.crowded(worker, self.settings.free_slots_field)
             self._spilled(job, attempt, False)
         if result in (Result.FULL, Result.CANCELLED, Result.MOOT):
             return
@@ -441,7 +441,7 @@
             return
         worker.trial = worker.trial and worker.failures > FAILS_LEAST / 2.0
         worker.trials_failed *= worker.trial
-        self.beliefs.served(job, attempt, self.now)
+        self.beliefs.served(job, attempt, self.now, self.settings)
         if not self.settings.tells_start:
             self._spilled(job, attempt, worker.queued < 1.0)
 
--- a/pipitledge/settings.py
+++ b/pipitledge/settings.py
@@ -16,6 +16,50 @@
            "eps": "failure_rate"}
 
 
+# Every setting the platform's pages name, by its place; docs/design/deployments.md tells who reads it. Those that
+# nobody reads are here too: they are known to be of no use to a node, which is not the same as unknown.
+KNOWN: dict[str, frozenset[str]] = {place: frozenset(names.split()) for place, names in {
+    "": "n_instances lanes clients discovery service_type specifics goal shapes permissions my_number "
+        "over_share_worth prices report rules realms resolution_ms layer layers weights value_by zone zones",
+    "lanes[]": "aim_stretch objective_ms deadline_ms repeat dedup_scope late_share name stream window_ms worth",
+    "clients": "marks_retry",
+    "specifics": "class_kind class_priority class_stretch memory_unit notes progress_ms queue_order report_x0 "
+                 "report_x1 tells_start",
+    "goal": "whole worst_class worst_tenant worst_window",
+    "permissions": "cancel conn_idle_ms dial_timeout_ms cpu_us_per_request cpu_us_per_s max_attempts max_open "
+                   "max_retry_after_ms peers probes retry_after second_copies streams_per_conn",
+    "prices": "connection cross_zone discovery fleet handshake late_fail moves origin peer probe waste",
+    "report": "fields source",
+    "rules": "grace_to_answer_ms ask_every_ms cold_share cold_ms drain_grace_ms overload_factor fall_ms",
+    "realms[]": "name quota_per_s share",
+}.items()}
+VALUES = {"discovery": ("ask", "push"), "weights": ("none", "nominal", "rough", "live"),
+          "value_by": ("request", "work"), "report.source": ("answers", "probe", "none"),
+          "specifics.queue_order": ("fifo", "backfill", "priority")}
+
+
+def unknown(raw: Mapping[str, Any]) -> list[str]:
+    """Places of settings that no page names, and of values that are none of those a page names, each once."""
+    found = list[str]()
+
+    def look(place: str, part: Any) -> None:
+        if isinstance(part, Mapping) and place in KNOWN:
+            for name, value in part.items():
+                where = f"{place}.{name}" if place else str(name)
+                if name not in KNOWN[place]:
+                    found.append(where)
+                elif where in VALUES and value not in VALUES[where]:
+                    found.append(f"{where}={str(value)[:40]}")
+                else:
+                    look(where, value)
+        elif isinstance(part, list) and f"{place}[]" in KNOWN:
+            for entry in part:
+                look(f"{place}[]", entry)
+
+    look("", raw)
+    return sorted({*found})
+
+
 def parse_settings(text: str) -> api.Settings:
     """Read the settings object from its JSON text."""
     return settings_from(json.loads(text))
