--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import re
+import socket
 from typing import Any
 
 import pytest
@@ -73,6 +74,20 @@
     assert json.loads(re.findall(r"counters=(.*)", log)[-1])["config.unknown"] == 2
 
 
+def test_a_node_told_push_follows_the_agent_from_its_start_and_again_after_its_end(tmp_path: pathlib.Path) -> None:
+    """It opened no connection at all, and lived on the list it had before its start."""
+    with socket.create_server(("127.0.0.1", 0)) as agent:
+        agent.settimeout(20.0)
+        where = "{}:{}".format(*agent.getsockname())
+        with Node(tmp_path, settings=STATED | {"discovery": "push"}, discovery=where) as node:
+            for _ in range(3):
+                watch, _ = agent.accept()
+                with watch:
+                    watch.settimeout(20.0)
+                    assert b"GET /api/targets?follow=1&since=1 " in watch.recv(4_096)
+            assert b" 200 " in node.ready()
+
+
 @pytest.mark.parametrize("change, place", [
     ({"lanes": None}, "settings.lanes"), ({"lanes": []}, "settings.lanes: no class"),
     ({"lanes": [{"deadline_ms": 300.0}]}, "settings.lanes[0].name: missing")])
