--- a/pipitledge/beliefs.py
+++ b/pipitledge/beliefs.py
@@ -89,8 +89,8 @@
 
     def capacity(self, worker: WorkerRecord, settings: Settings) -> float:
         """Slots of a worker, less where it is cold or much slower than its kind."""
-        slow = 1.0 if settings.tells_start else min(1.0, math.exp(self.kind_slowness[worker.kind] + SLOWER - worker.slowness))
-        return self.slots[worker.kind] * worker.warm * slow
+        slower = 0.0 if settings.tells_start else worker.slowness - self.kind_slowness[worker.kind] - SLOWER
+        return self.slots[worker.kind] * worker.warm * math.exp(-max(0.0, slower))
 
     # ---- slots, and what others hold
 
