--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,6 +17,7 @@
     Send,
     Settings,
     Tenant,
+    TimerFired,
     Worker,
     WorkersChanged,
 )
@@ -65,6 +66,15 @@
         self.did += actions
         return actions
 
+    def tick(self, after_ms: float = 0.0) -> list[Action]:
+        """The module's own timer fires, whenever it was due."""
+        self.policy.tick_ms = 0.0
+        return self.tell(TimerFired(0), after_ms=after_ms)
+
+    def sends(self, count: int, **fields: Any) -> list[Send]:
+        """So many jobs come; what is sent at once."""
+        return [send for _ in range(count) for send in of(self.job(f"s{len(self.did)}", **fields), Send)]
+
     def job(self, name: str, **fields: Any) -> list[Action]:
         return self.tell(JobArrived(name, **({"patience_ms": 5_000.0} | fields)))
 
