--- a/tests/test_believes.py
+++ b/tests/test_believes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import random
 from typing import Any
 
 import pytest
@@ -99,6 +100,12 @@
     assert not any(worker.others for worker in driver.policy.workers.values())
 
 
+def test_an_idle_cold_workers_budget_is_saved_for_one_job_and_hardly_more() -> None:
+    [worker], rate = ring([0]), 0.5
+    worker.accrue(rate, 2_000.0, 300.0, random.Random(1), 0.0)
+    assert worker.accrue(rate, 2_000.0, 300.0, random.Random(1), 60_000.0) <= 300.0 + 0.11 * rate * 2_000.0
+
+
 # ---- what is seen
 
 
@@ -107,9 +114,10 @@
 def test_others_are_found_from_live_weights_whatever_the_size(held: float, slots: int, nominal: float) -> None:
     known = beliefs_module.Beliefs()
     known.slots[:], worker = [float(slots)], ring([0])[0]
+    worker.lagged = 2.0  # ours are not others'
     known.weighed(None, nominal, 0.0)
     for sight in range(60):
-        known.weighed(worker, nominal / (1.0 + held / slots), float(sight))
+        known.weighed(worker, nominal / (1.0 + (held + 2.0) / slots), float(sight))
     assert worker.others == pytest.approx(held, abs=1e-3 + held * 1e-6)
     assert taken(worker, slots) == pytest.approx(worker.others)  # no part of ours: all of it is theirs
     worker.part = 1.0
