Move the upgrade and the tier's messages out of node/ into packages of their own

Change: succession, handover, household and knowledge are upgrade/; membership and peers are tier/. No behaviour changes. A node whose settings allow no peers no longer imports tier/ at all. No import runs from node/ to either.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -17,16 +17,16 @@
 from pipitledge.node.counters import Counters, Log, writer
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.front import Front, listen_at
-from pipitledge.node.handover import Busy
 from pipitledge.node.host_group import HostGroup
-from pipitledge.node.household import Household
 from pipitledge.node.operations import Operations
 from pipitledge.node.plan_file import PlanFile
 from pipitledge.node.server_link import Pool
 from pipitledge.node.signals import Signals
-from pipitledge.node.succession import Succession, claim
 from pipitledge.policy import Policy
 from pipitledge.settings import unknown
+from pipitledge.upgrade.handover import Busy
+from pipitledge.upgrade.household import Household
+from pipitledge.upgrade.succession import Succession, claim
 
 if TYPE_CHECKING:  # a node that does not print must not pay for it
     from pipitledge.ipp.node import PrintSide
--- a/pipitledge/node/peers.py
+++ b/pipitledge/tier/peers.py
@@ -10,7 +10,7 @@
 from pipitledge.net.timers import Clock
 from pipitledge.node.config import Address
 from pipitledge.node.counters import Counters, Log
-from pipitledge.node.membership import BEAT_MS, OUT, SERVES, Membership
+from pipitledge.tier.membership import BEAT_MS, OUT, SERVES, Membership
 
 AT_ONCE, LONGEST = 64, 256  # datagrams read in a round; bytes of one
 
--- a/pipitledge/node/household.py
+++ b/pipitledge/upgrade/household.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from pipitledge.interface import SettingsChanged
 from pipitledge.node.budget import bodies, budget
@@ -10,14 +11,16 @@
 from pipitledge.node.console import Call
 from pipitledge.node.dispatch import Dispatch
 from pipitledge.node.front import Front
-from pipitledge.node.handover import Estate
 from pipitledge.node.host_group import HostGroup
-from pipitledge.node.knowledge import inherited, learned_by
-from pipitledge.node.membership import Membership, settings_among
 from pipitledge.node.operations import Operations
-from pipitledge.node.peers import Peers
 from pipitledge.node.server_link import Pool
-from pipitledge.node.succession import Claim, Partner, Succession
+from pipitledge.upgrade.handover import Estate
+from pipitledge.upgrade.knowledge import inherited, learned_by
+from pipitledge.upgrade.succession import Claim, Partner, Succession
+
+if TYPE_CHECKING:  # a node that talks to no other one must not pay for it
+    from pipitledge.tier.membership import Membership
+    from pipitledge.tier.peers import Peers
 
 
 class Household:
@@ -31,6 +34,7 @@
         self.reserved = 0  # descriptors of the print side
         self.peers: Peers | None = None
         if told.peer_listen is not None and told.settings.instances > 1:
+            from pipitledge.tier.peers import Peers
             self.peers = Peers(front.scheduler, front.clock, front.counters, front.log, told.peer_listen, told.peers,
                                told.peers_all, self._membership())
             self.peers.changed, self.peers.serves, front.on_duty = self._put_in_force, self._serves, self.peers.beat
@@ -52,6 +56,7 @@
         self.group.move(told.discovery)
 
     def _membership(self) -> Membership:
+        from pipitledge.tier.membership import Membership
         return Membership(self.told.settings.number, self.told.settings.instances)
 
     def _serves(self) -> bool:
@@ -63,6 +68,7 @@
         """Tell the module its settings: those told, among the nodes that are there."""
         settings = self.told.settings
         if self.peers is not None:
+            from pipitledge.tier.membership import settings_among
             settings = settings_among(settings, self.peers.there)
         if self.succession.heir is not None:  # cold workers' budgets are the heir's from now on
             settings = replace(settings, overload_factor=0.0)
--- a/pipitledge/node/succession.py
+++ b/pipitledge/upgrade/succession.py
@@ -18,7 +18,7 @@
 from pipitledge.node.config import Address
 from pipitledge.node.console import Call, Verb
 from pipitledge.node.counters import Counters, Log
-from pipitledge.node.handover import FORM, MOST, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
+from pipitledge.upgrade.handover import FORM, MOST, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
 
 CLAIM_MS = 2_000.0  # for the elder to tell all
 TRIES, AGAIN_S = 5, 0.05
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,8 +13,8 @@
 from net_helper import DERANDOMISED, Rig
 
 from pipitledge.interface import Send, SettingsChanged
-from pipitledge.node.membership import BEAT_MS, OUT, SERVES, SILENT_MS, Membership, settings_among
-from pipitledge.node.peers import Peers
+from pipitledge.tier.membership import BEAT_MS, OUT, SERVES, SILENT_MS, Membership, settings_among
+from pipitledge.tier.peers import Peers
 
 
 @DERANDOMISED
--- a/tests/test_settings_file.py
+++ b/tests/test_settings_file.py
@@ -19,8 +19,8 @@
 
 from pipitledge.interface import Listing, Refuse, Repeat, Result, Send, SettingsChanged, Tenant, Worker
 from pipitledge.node import config
-from pipitledge.node.knowledge import inherited, learned_by
 from pipitledge.node.settings_file import Broken, Numbers, check_against
+from pipitledge.upgrade.knowledge import inherited, learned_by
 
 LANE = {"name": "menu-plan", "deadline_ms": 5000, "objective_ms": 100.0, "repeat": "free", "worth": 1.0}
 FULL = told(settings={
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -18,8 +18,8 @@
 from node_helper import READY, STATED, Node, exchange, job
 
 from pipitledge.node.counters import Counters, Log
-from pipitledge.node.handover import PART, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
-from pipitledge.node.succession import Succession, claim
+from pipitledge.upgrade.handover import PART, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
+from pipitledge.upgrade.succession import Succession, claim
 
 ROWS = [{"uid": f"s-{number}", "endpoint": "127.0.0.1:1", "az": "aarhus-1", "model": "fast-4", "pod_group": 0,
          "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0} for number in range(3)]
