--- /dev/null
+++ b/tests/test_tier_agreement.py
@@ -0,0 +1,352 @@
+"""The tier's agreement in virtual time: random schedules, each step of a change, and bugs that have to be found."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+import pytest
+
+from pipitledge.emulator.tier_world import Machine, World, walk
+from pipitledge.tier import agreement as ag
+from pipitledge.tier import messages as m
+from pipitledge.tier.agreement import Agreement, Stage, Store
+
+THREE, FIVE = ["n0", "n1", "n2"], ["n0", "n1", "n2", "n3", "n4"]
+
+
+def tier(names: list[str] = THREE, seed: int = 1, **options: Any) -> World:
+    """A tier that has settled."""
+    world = World(names, seed, **options)
+    assert world.run_until(world.is_settled, 10_000.0) < 10_000.0
+    world.run(world.now + 4_000.0)  # what may have been granted before the start has run out
+    return world
+
+
+def stage(world: World, name: str) -> Stage | None:
+    node = world.machines[name].node
+    return None if node is None else node.stage
+
+
+def entry(world: World, name: str) -> m.Entry:
+    node = world.machines[name].node
+    assert node is not None
+    return node.entry
+
+
+def admits(world: World, name: str) -> bool:
+    machine = world.machines[name]
+    return machine.node is not None and not machine.asleep and machine.node.admits(world.clock(machine))
+
+
+@pytest.mark.parametrize("disks", [False, True])
+@pytest.mark.parametrize("names, seeds", [(["n0", "n1"], 15), (THREE, 25), (FIVE, 12)])
+def test_no_random_schedule_breaks_a_rule_or_blocks(names: list[str], seeds: int, disks: bool) -> None:
+    worlds = [walk(names, seed, disks=disks) for seed in range(seeds)]
+    results = [result for world in worlds for result, _ in world.outcomes.values()]
+    assert results.count("in force") > seeds and results.count("dropped") > seeds / 2  # they do make and drop changes
+    assert max(world.joint_ms for world in worlds) <= ag.GRANT_MS * 1.01
+
+
+@pytest.mark.parametrize("names", [["n0"], ["n0", "n1"], THREE, FIVE, [f"n{i}" for i in range(9)]])
+def test_a_change_is_in_force_everywhere_within_a_second(names: list[str]) -> None:
+    world = tier(names)
+    digest, no = world.propose("n0")
+    assert no == ""
+    assert world.run_until(lambda: all(entry(world, name).digest == digest and stage(world, name) is Stage.IN_FORCE
+                                       for name in names), 1_000.0) < 1_000.0
+    assert world.outcomes[digest] == ("in force", "version 2")
+
+
+def test_one_that_refuses_keeps_it_from_all_also_the_last_one_asked() -> None:
+    world = tier(FIVE)
+    digest, _ = world.propose("n0", refused_by=("n4",))
+    world.run(world.now + 2_000.0)
+    assert world.outcomes[digest] == ("dropped", "n4: does not fit")
+    assert {entry(world, name).number for name in FIVE} == {0} and all(admits(world, name) for name in FIVE)
+
+
+def test_of_two_at_once_one_wins_and_the_other_hears_which() -> None:
+    world = tier(FIVE)
+    first, second = world.propose("n0")[0], world.propose("n4")[0]
+    world.run(world.now + 8_000.0)
+    assert sorted(world.outcomes[digest][0] for digest in (first, second)) == ["in force", "lost"]
+    loser = next(digest for digest in (first, second) if world.outcomes[digest][0] == "lost")
+    assert world.outcomes[loser][1] == "version 2 came first"
+
+
+def test_a_change_made_from_another_version_is_not_taken_up() -> None:
+    world = tier()
+    assert world.propose("n1", made_from=7)[1] == "made from version 7, in force is 1"
+    assert world.propose("n1")[1] == ""
+    assert world.propose("n1")[1] == "a change proposed here is under way"
+
+
+@pytest.mark.parametrize("disks", [False, True])
+@pytest.mark.parametrize("names", [THREE, FIVE])
+def test_the_proposer_dies_after_each_single_step(names: list[str], disks: bool) -> None:
+    ends = set()
+    for step in range(60):
+        world = tier(names, seed=step, disks=disks)
+        world.machines["n1"].dies_after = step
+        digest, _ = world.propose("n1")
+        world.run(world.now + 20_000.0)  # the others finish or drop it, and go on
+        rest = [name for name in names if name != "n1"]
+        assert all(admits(world, name) and stage(world, name) is Stage.IN_FORCE for name in rest), world.story()
+        found = {entry(world, name).digest == digest for name in rest}
+        assert len(found) == 1
+        ends |= found
+        world.start("n1") if world.machines["n1"].node is None else None
+        assert world.run_until(world.is_settled, 10_000.0) < 10_000.0
+        assert world.propose("n2")[1] == ""
+        world.run(world.now + 5_000.0)
+        assert len({entry(world, name) for name in names}) == 1
+    assert ends == {True, False}  # the steps reach from before the first message to after the decision
+
+
+def test_a_node_that_sleeps_through_a_change_admits_nothing_when_it_wakes() -> None:
+    world = tier()
+    world.sleep("n2")
+    digest, _ = world.propose("n0")
+    assert world.run_until(lambda: digest in world.outcomes, 10_000.0) <= 3_500.0  # once its lease has ended
+    world.run(world.now + 10_000.0)
+    machine = world.machines["n2"]
+    machine.asleep = False  # awake, and has read nothing yet
+    assert entry(world, "n2").number == 0 and not admits(world, "n2")
+    world.look()
+    machine.asleep = True
+    world.wake("n2")
+    assert world.run_until(lambda: admits(world, "n2"), 2_000.0) < 1_000.0
+    assert entry(world, "n2").digest == digest
+
+
+def test_one_side_of_a_cut_decides_and_the_other_stops_admitting() -> None:
+    world = tier(FIVE)
+    world.cuts = {(a, b) for a in FIVE for b in FIVE if (a in ("n0", "n1")) != (b in ("n0", "n1"))}
+    small, large = world.propose("n0")[0], world.propose("n4")[0]
+    world.run(world.now + 12_000.0)
+    assert world.outcomes[large][0] == "in force" and world.outcomes[small][0] == "dropped"
+    assert [admits(world, name) for name in FIVE] == [False, False, True, True, True]
+    world.cuts.clear()
+    assert world.run_until(world.is_settled, 10_000.0) < 3_000.0
+
+
+def test_a_cut_in_one_direction_blocks_nobody_for_ever() -> None:
+    for cut in (("n0", "n2"), ("n2", "n0")):
+        world = tier()
+        world.cuts = {cut}
+        digest, _ = world.propose("n0")
+        world.run(world.now + 16_000.0)
+        assert world.outcomes[digest][0] in ("in force", "dropped", "open")
+        world.cuts.clear()
+        assert world.run_until(world.is_settled, 10_000.0) < 6_000.0
+        assert world.propose("n1")[1] == ""
+
+
+def test_all_die_during_a_change_and_come_back_from_their_disks() -> None:
+    for after in (0.0, 20.0, 40.0, 60.0, 80.0, 120.0):
+        world = tier(FIVE, disks=True)
+        digest, _ = world.propose("n3")
+        world.run(world.now + after)
+        known = max(machine.node.entry.number for machine in world.machines.values() if machine.node)
+        for name in FIVE:
+            world.crash(name)
+        world.run(world.now + 1_000.0)
+        for name in FIVE:
+            world.start(name)
+        assert world.run_until(world.is_settled, 20_000.0) < 20_000.0
+        assert entry(world, "n0").number >= known
+        assert digest not in world.outcomes or world.outcomes[digest][0] != "lost"
+
+
+def test_all_without_a_disk_begin_again_from_their_files_only_when_all_are_there() -> None:
+    world = tier()
+    world.propose("n0")
+    world.run(world.now + 2_000.0)
+    for name in THREE:
+        world.crash(name)
+    world.line, world.alone_ms = {0: world.first}, {}  # what nobody remembers is no history
+    for name in THREE[:2]:
+        world.start(name)
+    world.run(world.now + 20_000.0)
+    assert stage(world, "n0") is Stage.RECOVERING and not admits(world, "n0")
+    assert world.vouch("n0", "n2") == world.vouch("n1", "n2") == ""
+    assert world.vouch("n0", "n9") == "no other member has this name"
+    assert world.run_until(lambda: admits(world, "n0") and admits(world, "n1"), 10_000.0) < 3_000.0
+    world.start("n2")
+    assert world.run_until(world.is_settled, 10_000.0) < 3_000.0 and entry(world, "n2") == world.first
+
+
+def test_a_disk_newer_than_the_rest_of_the_tier_brings_its_version_back() -> None:
+    world = tier()
+    world.machines["n2"].has_disk = True
+    digest, _ = world.propose("n0")
+    world.run(world.now + 2_000.0)
+    for name in THREE:
+        world.crash(name)
+    for name in THREE:
+        world.start(name)
+    assert world.run_until(world.is_settled, 10_000.0) < 10_000.0
+    assert {entry(world, name).digest for name in THREE} == {digest}
+
+
+def test_two_nodes_serve_on_while_one_is_down_but_change_nothing_until_an_operator_vouches() -> None:
+    world = tier(["n0", "n1"])
+    world.crash("n1")
+    world.run(world.now + 10_000.0)
+    assert admits(world, "n0")
+    digest, _ = world.propose("n0")
+    world.run(world.now + 11_000.0)
+    assert world.outcomes[digest] == ("dropped", "no answer from n1")
+    assert world.vouch("n0", "n1") == ""
+    digest, no = world.propose("n0", members=("n0",))
+    assert no == "" and world.run_until(lambda: digest in world.outcomes, 5_000.0) < 5_000.0
+    assert world.outcomes[digest][0] == "in force" and admits(world, "n0")
+    assert world.propose("n0")[1] == "" and entry(world, "n0").version == 3
+
+
+def test_members_come_and_go_one_at_a_time() -> None:
+    world = tier(FIVE[:4], seed=3)
+    assert world.propose("n0", members=("n0", "n1"))[1] == "one member at a time comes or goes"
+    gone, _ = world.propose("n0", members=("n0", "n1", "n2"))
+    world.run(world.now + 4_000.0)
+    assert world.outcomes[gone][0] == "in force" and not admits(world, "n3")
+    assert [admits(world, name) for name in THREE] == [True] * 3
+    world.machines["n4"] = Machine("n4", False, 1.0, 0.0, 1.7e12)
+    world.start("n4")
+    world.run(world.now + 2_000.0)
+    assert not admits(world, "n4")
+    come, no = world.propose("n1", members=("n0", "n1", "n2", "n4"))
+    assert no == ""
+    assert world.run_until(lambda: admits(world, "n4"), 10_000.0) < 6_000.0
+    assert entry(world, "n4").digest == come
+
+
+def test_a_change_every_second_for_a_minute_under_loss() -> None:
+    world = tier(FIVE, loss=0.1)
+    for number in range(60):
+        world.propose(FIVE[number % 5])
+        world.run(world.now + 1_000.0)
+    world.run(world.now + 5_000.0)
+    assert [result for result, _ in world.outcomes.values()].count("in force") > 45
+
+
+def test_clocks_that_jump_an_hour_change_nothing() -> None:
+    world = tier()
+    for name, hour in (("n0", 3.6e6), ("n1", -3.6e6)):
+        world.machines[name].wall_ms += hour
+        world.crash(name)
+        world.start(name)
+        assert world.run_until(world.is_settled, 10_000.0) < 5_000.0
+    digest, _ = world.propose("n2")
+    world.run(world.now + 4_000.0)
+    assert world.outcomes[digest][0] == "in force"
+
+
+def test_messages_of_a_life_that_is_over_are_not_heard() -> None:
+    world = tier()
+    node = world.machines["n0"].node
+    assert node is not None
+    told = m.Told(entry=node.entry.then(b"x" * 16), sender="n1", lives={"n1": node.lives["n1"] - 1}, stand=99)
+    node.receive(told, world.clock(world.machines["n0"]))
+    assert node.pending is None and not node.take()
+    node.receive(m.Told(entry=node.entry.then(b"x" * 16)._replace(line=b"........"), sender="n1",
+                        lives={"n1": node.lives["n1"]}, stand=3), 0.0)
+    assert node.pending is None  # not of our line
+
+
+def test_what_is_told_is_stored_before() -> None:
+    """Every promise and acceptance comes after a Store that holds it."""
+    seen = 0
+
+    class Looks(World):
+        def _do(self, machine: Machine, node: Agreement, effect: ag.Effect) -> None:
+            nonlocal seen
+            super()._do(machine, node, effect)
+            if isinstance(effect, ag.Send) and isinstance(effect.message, m.Promise | m.Accepted):
+                seen += 1
+                assert machine.disk is not None and machine.disk.promised >= effect.message.ballot
+                assert not isinstance(effect.message, m.Accepted) or machine.disk.accepted == effect.message.ballot
+
+    world = Looks(FIVE, 4, disks=True)
+    world.run(4_000.0)
+    world.propose("n0")
+    world.run(8_000.0)
+    assert seen >= 8
+
+
+# ---- bugs, each found by the same schedules
+
+
+class TellsBeforeStoring(Agreement):
+    def take(self) -> list[ag.Effect]:
+        effects = super().take()
+        return sorted(effects, key=lambda effect: isinstance(effect, Store))
+
+
+class CountsAVoteTwice(Agreement):
+    def _counts(self, members: Iterable[str], among: Sequence[str]) -> bool:
+        return super()._counts([*members, *[name for name in among if name not in members][:1]], among)
+
+
+class LeaseFromTheAnswer(Agreement):
+    def _granted(self, grant: m.Grant, now: float) -> None:
+        super()._granted(grant, now)
+        self.held[grant.sender] = now
+
+
+class ForgetsThatOthersForgot(Agreement):
+    def _is_valid(self, member: str, life: int) -> bool:
+        return True
+
+
+class WaitsForNoLease(Agreement):
+    def _lapsed(self, among: Sequence[str], votes: Any, now: float) -> bool:
+        return True
+
+
+class OverlooksWhatWasAccepted(Agreement):
+    def _maybe_decided(self, votes: Any) -> m.Entry | None:
+        return None
+
+
+class GrantsToAnybody(Agreement):
+    def _may_grant(self, ask: m.Ask) -> bool:
+        return True
+
+
+class KnowsWhatItGrantedBefore(Agreement):
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.unknown_until = -math.inf
+
+
+class PromisesTwice(Agreement):
+    def _accept(self, message: m.Accept, now: float) -> None:
+        promised = self.promised
+        self.promised = min(promised, message.ballot)
+        super()._accept(message, now)
+        self.promised = max(promised, message.ballot)
+
+
+class JointAlone(Agreement):
+    def _check_joined(self, now: float) -> None:
+        self._in_force(now)
+
+
+class WallClock(World):
+    """The driver's bug: durations by the system's time, which jumps."""
+
+    def clock(self, machine: Machine) -> float:
+        return super().clock(machine) + machine.wall_ms - 1.7e12
+
+
+BUGS: dict[str, tuple[Callable[..., Agreement], bool]] = {
+    "tells before storing": (TellsBeforeStoring, True), "counts a vote twice": (CountsAVoteTwice, False),
+    "a lease from the answer": (LeaseFromTheAnswer, False),
+    "counts votes that were forgotten": (ForgetsThatOthersForgot, False),
+    "waits for no lease": (WaitsForNoLease, False), "overlooks what was accepted": (OverlooksWhatWasAccepted, False),
+    "grants to anybody": (GrantsToAnybody, False), "forgets what it granted": (KnowsWhatItGrantedBefore, False),
+    "accepts what it promised not to": (PromisesTwice, False), "joint for nobody": (JointAlone, False),
+}
