Put the tier's policy in force on real nodes: disk, carriers, leases at the front, operators' calls

Need: the agreement was a machine without a node round it. The front refuses at once without a lease; the second address answers POLICY STATUS, SHOW, HISTORY, OUTCOME, ABORT, VOUCH and PROPOSE; an upgrade hands the node's one voice over. All of it only with a `tier` block: without it nothing of tier/ is imported.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:  # a node that does not print must not pay for it
     from pipitledge.ipp.node import PrintSide
+    from pipitledge.tier.side import TierSide
 
 
 def main() -> int:
@@ -64,9 +65,13 @@
 
     told: config.Config
     printing: PrintSide | None = None
+    tier: TierSide | None = None
 
     def reload() -> None:
         """Read the configuration again, and put it in force whole; one that can't be used leaves all as it is."""
+        if tier is not None:
+            tier.reload(os.environ)
+            return
         try:
             new = config.load(os.environ, told)
         except config.ConfigError as fault:
@@ -111,6 +116,13 @@
 
     tell_unknown(unknown(told.raw.get("settings", {})))
     plans = PlanFile(told, scheduler, clock, counters, log)
+    if told.tier is not None:
+        from pipitledge.tier import begin
+        try:
+            store = begin.open_store(told.tier, log)
+        except begin.Unusable as fault:
+            log("config", error=fault)
+            return 2
     if not plans.start():
         return 2
     # From here on nothing may fail: whoever ran here so far stops to take clients in.
@@ -142,6 +154,13 @@
     else:
         group.start(told.known)
     household.start()
+    if told.tier is not None:
+        try:
+            tier = begin.start(told, scheduler, clock, counters, log, store, household, operations,
+                               claimed.estate.tier if claimed is not None else {})
+        except begin.Unusable as fault:
+            log("config", error=fault)
+            return 2
     succession.offer()
     if told.printers:
         from pipitledge.ipp.node import PrintSide as Side
--- a/pipitledge/emulator/tier_world.py
+++ b/pipitledge/emulator/tier_world.py
@@ -39,6 +39,7 @@
     asleep: bool = False
     inbox: list[m.Any] = field(default_factory=list)  # what came while it slept
     has: set[bytes] = field(default_factory=set)  # documents
+    joint_since: tuple[int, float] = (-1, 0.0)  # the entry that is joint here, and since when
     dies_after: int = -1  # effects that are carried out before the process ends; negative: it lives
 
 
@@ -81,7 +82,7 @@
     def start(self, name: str) -> None:
         """Start a node's process, with what its disk has kept."""
         machine = self.machines[name]
-        machine.asleep, machine.inbox = False, []
+        machine.asleep, machine.inbox, machine.joint_since = False, [], (-1, 0.0)
         machine.has = {self.first.digest} | (machine.has if machine.has_disk else set())
         roster = self.rosters[self.first.digest]
         if name not in roster.members:
@@ -189,8 +190,9 @@
             for effect in effects:
                 if machine.dies_after == 0:
                     machine.dies_after = -1
-                    self.crash(machine.name)
-                    break
+                    if self.may_crash(machine.name):
+                        self.crash(machine.name)
+                        break
                 machine.dies_after -= machine.dies_after > 0
                 self._do(machine, node, effect)
                 if machine.node is not node:
@@ -274,14 +276,19 @@
             self._look_at_line(machine, node)
             if not node.admits(self.clock(machine)):
                 continue
-            (alone if node.stage is Stage.IN_FORCE else joint).add(node.entry.number)
+            number = node.entry.number
+            (alone if node.stage is Stage.IN_FORCE else joint).add(number)
+            if node.stage is Stage.JOINT:
+                if machine.joint_since[0] != number:
+                    machine.joint_since = number, self.now
+                if number in self.alone_ms:
+                    since = max(machine.joint_since[1], self.alone_ms[number])
+                    self.joint_ms = max(self.joint_ms, self.now - since)
         if len(alone) > 1:
             raise Violation(f"everywhere: entries {sorted(alone)} in force alone at {self.now:.0f}: {self.story()}")
         for number in joint:
             if alone and not alone <= {number, number - 1}:
                 raise Violation(f"everywhere: {sorted(alone)} alone beside joint {number}: {self.story()}")
-            if number in self.alone_ms:
-                self.joint_ms = max(self.joint_ms, self.now - self.alone_ms[number])
         for number in alone:
             self.alone_ms.setdefault(number, self.now)
 
@@ -365,6 +372,7 @@
     world.loss = world.repeat = world.late = 0.0
     world.cuts.clear()
     for name in names:
+        world.machines[name].dies_after = -1
         world.wake(name)
         if world.machines[name].node is None:
             world.start(name)
--- a/pipitledge/node/config.py
+++ b/pipitledge/node/config.py
@@ -31,6 +31,18 @@
     numbers: Numbers = NONE  # vanished names too
 
 
+@dataclass(frozen=True, slots=True)
+class TierTold:
+    """The block `tier`: the node's part in one policy for the whole tier."""
+
+    name: str  # this node's, among the members
+    members: Mapping[str, Address]
+    listen: Address | None  # a TCP address of its own; None: datagrams, through the peers' socket
+    state: str = ""  # a folder on a disk that outlives the process; empty: there is none
+    key_file: str = ""  # messages are sealed with what it holds
+    unanimous: bool = False  # a decision takes all members, and a lease its holder alone
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """One node's configuration."""
@@ -56,6 +68,7 @@
     printers: str = ""  # path of the file of printers; empty: the node does not print
     ipp_listen: str = ""
     ipp_store: str = ""  # path of the store of print jobs; empty: they are kept in memory
+    tier: TierTold | None = None  # None: this node's policy is its own file's
 
 
 def address(text: str) -> Address:
@@ -99,10 +112,28 @@
         raise ConfigError(f"{type(fault).__name__}: {fault}") from fault
 
 
+def under(told: Config, settings: Mapping[str, Any], environ: Mapping[str, str], in_force: Config,
+          against: bool) -> Config:
+    """The same configuration with other settings, in the numbers of the one in force.
+
+    ConfigError names what is wrong with them; `against`: also where they are none that may follow those in force.
+    """
+    raw = {**told.raw, "settings": settings}
+    try:
+        check_against(in_force.raw, raw) if against else check(raw)
+        return replace(_carried(_config(raw, environ), in_force), known=told.known)
+    except ConfigError:
+        raise
+    except Broken as fault:
+        raise ConfigError(str(fault)) from fault
+    except Exception as fault:  # whatever a document may hold
+        raise ConfigError(f"{type(fault).__name__}: {fault}") from fault
+
+
 def changed(old: Config, new: Config) -> list[str]:
     """Keys that differ and that only a restart takes over."""
     return [key for key in ("name", "listen", "seed", "console", "attempts", "peer_listen", "peers", "peers_all",
-                            "printers", "ipp_listen", "ipp_store") if getattr(old, key) != getattr(new, key)]
+                            "printers", "ipp_listen", "ipp_store", "tier") if getattr(old, key) != getattr(new, key)]
 
 
 def _carried(new: Config, old: Config) -> Config:
@@ -126,6 +157,38 @@
             "peers_all": address(str(everybody)) if everybody else None}
 
 
+def _tier(raw: Mapping[str, Any]) -> TierTold | None:
+    stated = raw.get("tier")
+    if not stated:
+        return None
+    if not isinstance(stated, Mapping):
+        raise ConfigError("tier: no object")
+    if unknown := set(stated) - {"name", "members", "listen", "state", "key_file", "changes_need"}:
+        raise ConfigError(f"tier.{min(unknown)}: not known")
+    members, name, needs = stated.get("members"), str(stated.get("name", "")), stated.get("changes_need", "majority")
+    if not isinstance(members, Mapping) or not members:
+        raise ConfigError("tier.members: names with addresses are needed")
+    if name not in members:
+        raise ConfigError(f"tier.name: {name!r} is none of tier.members")
+    if needs not in ("majority", "all"):
+        raise ConfigError(f"tier.changes_need: {needs!r}; majority or all")
+    for member in members:
+        if not 0 < len(member) <= 12 or not member.isascii() or not member.isprintable() or "~" in member:
+            raise ConfigError(f"tier.members.{member}: a name has 1 to 12 plain characters, and no ~")
+    found = {str(member): address(str(where)) for member, where in members.items()}
+    listen = address(str(stated["listen"])) if stated.get("listen") else None
+    if listen is None:
+        peers = [address(str(peer)) for peer in raw.get("peers") or []]
+        if not raw.get("peer_listen") or not ((raw.get("settings") or {}).get("permissions") or {}).get("peers"):
+            raise ConfigError("tier.listen: missing; without it datagrams are used, and peer_listen with "
+                              "settings.permissions.peers allows none")
+        for member, where in found.items():
+            if where not in peers:
+                raise ConfigError(f"tier.members.{member}: its address is none of peers")
+    return TierTold(name, found, listen, str(stated.get("state") or ""), str(stated.get("key_file") or ""),
+                    needs == "all")
+
+
 def _config(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     def told(key: str) -> str:
         value = raw.get(key) or environ.get("BALANCER_" + key.upper())
@@ -154,4 +217,4 @@
         folder=environ.get("TMPDIR", ""),
         attempts=str(raw.get("attempts") or environ.get("PIPITLEDGE_ATTEMPTS", "")),
         printers=str(raw.get("printers") or ""), ipp_listen=str(raw.get("ipp_listen") or ""),
-        ipp_store=str(raw.get("ipp_store") or ""))
+        ipp_store=str(raw.get("ipp_store") or ""), tier=_tier(raw))
--- a/pipitledge/node/console.py
+++ b/pipitledge/node/console.py
@@ -6,7 +6,7 @@
 import re
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from pipitledge.net.scheduler import Scheduler, Wake
@@ -16,6 +16,7 @@
 from pipitledge.node.counters import Counters, Log
 
 MOST_LINE = 256  # bytes, with its end
+MOST_BODY = 300 * 1024  # bytes after the line of a call that brings a document
 LINE_MS, WRITE_MS = 2_000.0, 1_000.0  # from accepting to the whole line; for the answer
 PLACES = 8  # calls at one time; their descriptors are set aside at the start, so that no client can take them
 AGAIN_MS = 20.0  # without a descriptor to spare
@@ -29,6 +30,7 @@
     ATTACH = b"ATTACH"
     LAMEDUCK = b"LAMEDUCK"
     REJOIN = b"REJOIN"
+    POLICY = b"POLICY"
 
 
 WITH_ID = frozenset({Verb.DETACH, Verb.ATTACH})
@@ -41,6 +43,12 @@
 
     verb: Verb
     worker: str = ""
+    words: tuple[str, ...] = ()  # after POLICY
+    body: bytes = b""  # of POLICY PROPOSE
+
+
+class Yes(str):
+    """An answer that is yes, and has more to say."""
 
 
 class BadCall(Exception):
@@ -54,6 +62,10 @@
         verb = Verb(words[0])
     except (ValueError, IndexError):
         raise BadCall("unknown call") from None
+    if verb is Verb.POLICY:
+        if not all(_ID.fullmatch(word) for word in words[1:]) or len(words) < 2:
+            raise BadCall("POLICY takes words")
+        return Call(verb, words=tuple(word.decode() for word in words[1:]))
     if len(words) != 1 + (verb in WITH_ID):
         raise BadCall(f"{verb.value.decode()} takes {'one id' if verb in WITH_ID else 'nothing else'}")
     if len(words) > 1 and not _ID.fullmatch(words[1]):
@@ -68,20 +80,43 @@
         """Wait for the first byte."""
         self.line = bytearray()
         self.over = False
+        self._call: Call | None = None  # one whose body is still coming
+        self._size = 0
 
     def receive(self, data: bytes) -> Call | None:
         """Take what has come. What follows the first line is not looked at."""
         if self.over:
             return None
         self.line += data
+        if self._call is not None:
+            return self._whole()
         end = self.line.find(b"\n")
         if end >= MOST_LINE or (end < 0 and len(self.line) >= MOST_LINE):
             self.over = True
             raise BadCall("line too long")
         if end < 0:
             return None
+        try:
+            call = read_call(bytes(self.line[:end]))
+            if call.words[:1] == ("PROPOSE",):
+                self._size = int(call.words[1]) if len(call.words) > 1 and call.words[1].isdecimal() else -1
+                if not 0 < self._size <= MOST_BODY:
+                    raise BadCall(f"a document has 1 to {MOST_BODY} bytes")
+                del self.line[:end + 1]
+                self._call = call
+                return self._whole()
+        except BadCall:
+            self.over = True
+            raise
+        self.over = True
+        return call
+
+    def _whole(self) -> Call | None:
+        """The call, once its body is whole. What follows that is not looked at."""
+        if self._call is None or len(self.line) < self._size:
+            return None
         self.over = True
-        return read_call(bytes(self.line[:end]))
+        return replace(self._call, body=bytes(self.line[:self._size]))
 
     def end(self) -> None:
         """Take note that the caller sends no more: half a call is none."""
@@ -92,10 +127,13 @@
 
 def answer_line(no: str | None) -> bytes:
     """Give the answer to a call: yes, or no with its reason."""
-    return b"+OK\n" if no is None else b"-ERR " + no.encode("ascii", "replace") + b"\n"
+    if isinstance(no, Yes):
+        return b"+OK " + no.encode() + b"\n"
+    return b"+OK\n" if no is None else b"-ERR " + no.encode("ascii", "replace").replace(b"\n", b" ") + b"\n"
 
 
-Answerer = Callable[[Call], str | None]  # None is yes: it is done; else why not. It may wait, in the caller's task
+# None or Yes: it is done; else why not. It may wait, in the caller's task.
+Answerer = Callable[[Call], str | None]
 
 
 def not_yet(call: Call) -> str | None:
@@ -172,7 +210,8 @@
                 return
             self.called, what = True, call.verb.value.decode().lower()
             answer = console.answerer(call)
-            console.log("console", call=what, id=call.worker or "-", answer="yes" if answer is None else answer)
+            console.log("console", call=what, id=call.worker or "-".join(call.words) or "-",
+                        answer="yes" if answer is None or isinstance(answer, Yes) else answer)
             self._write(answer_line(answer))
         except BadCall as fault:
             console.log("console", call="bad", why=fault)
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -20,7 +20,7 @@
 from pipitledge.net.timers import Clock, Timer
 from pipitledge.node.config import Address, Names
 from pipitledge.node.counters import Counters, Log
-from pipitledge.node.dispatch import Answer, Dispatch, Failure, Query, Served
+from pipitledge.node.dispatch import Answer, Dispatch, Failure, Query, Served, Throttle
 from pipitledge.node.duty import Duty
 from pipitledge.node.endings import Ending
 from pipitledge.node.plan_file import PlanOf, unlimited
@@ -246,8 +246,10 @@
         """Answer a request; None if the client left before its answer."""
         front = self.front
         if request.target == b"/-/ready" and request.method == b"GET":
-            ready = front.duty.is_ready
+            ready = front.duty.is_ready and front.refuses() is None
             return self.side.answer(200 if ready else 503, b"", close=not ready)
+        if (refused := front.refuses()) is not None:  # ahead of names: those that hold here may be old ones
+            return answer_parts(self.side, refused, self._closes())
         arrival = read_arrival(request, front.names, front.settings)
         if (plan := front.plan_of(arrival.job_class, request.target)) is not UNLIMITED:
             arrival = arrival._replace(plan=plan)
@@ -300,6 +302,7 @@
     """Listens, keeps the clients' connections within the budget, and stops in order."""
 
     plan_of: PlanOf = staticmethod(unlimited)
+    refuses: Callable[[], Throttle | None] = staticmethod(lambda: None)  # while nothing may be admitted: why not
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, counters: Counters, log: Log,
                  names: Names, settings: Settings, listener: socket.socket, most: int, most_held: int) -> None:
--- a/pipitledge/node/operations.py
+++ b/pipitledge/node/operations.py
@@ -10,6 +10,7 @@
 from pipitledge.node.host_group import HostGroup
 
 NOBODY, STOPS = "no worker has this id", "the node stops"
+NO_TIER = "this node's policy is its own file's: the configuration has no tier"
 
 
 class Operations:
@@ -19,9 +20,12 @@
                  others: Callable[[Call], str | None]) -> None:
         """Know the parts that calls are for."""
         self.dispatch, self.group, self.front, self.others = dispatch, group, front, others
+        self.policy: Callable[[Call], str | None] = lambda call: NO_TIER
 
     def answer(self, call: Call) -> str | None:
         """Do what is asked, here and in the other processes; None if it is done, else why it is not."""
+        if call.verb is Verb.POLICY:
+            return self.policy(call)
         if call.verb is Verb.PING:
             return None if self.front.takes else STOPS
         no = self._do(call, False)
--- a/pipitledge/tier/agreement.py
+++ b/pipitledge/tier/agreement.py
@@ -636,15 +636,18 @@
                 self.effects.append(Want(found.digest, tuple(
                     member for member, vote in votes.items() if vote.entry == found)))
             return
-        if found is None and refusers and change.digest:
-            self._drop("; ".join(f"{member}: {no}" for member, no in sorted(refusers.items())), now)
-            return
-        if change.digest and (found is None or found.digest == change.digest):
+        digest = change.digest
+        if found is None and refusers and digest:
+            if digest == self.wanted and not self.asked_accept:
+                self._drop("; ".join(f"{member}: {no}" for member, no in sorted(refusers.items())), now)
+                return
+            digest = b""  # somebody may have accepted it; too few to decide it, so that nothing may be decided instead
+        if digest and (found is None or found.digest == digest):
             # One that refuses is asked no more than one that is silent: its own word ends no lease of its own.
             takes = {member: vote for member, vote in votes.items() if member not in refusers}
             if not self._counts(takes, self.members) or not self._lapsed(self.members, takes, now):
                 return
-        change.entry = found if found is not None else self.entry.then(change.digest)
+        change.entry = found if found is not None else self.entry.then(digest)
         if change.entry.digest == self.wanted:
             self.asked_accept = True
         self._accept(m.Accept(ballot=change.ballot, entry=change.entry, sender=self.me), now)
--- a/pipitledge/tier/peers.py
+++ b/pipitledge/tier/peers.py
@@ -29,6 +29,7 @@
         self.there = membership.there(clock.now())
         self.serves: Callable[[], bool] = lambda: True
         self.changed: Callable[[], None] = lambda: None
+        self.other: Callable[[bytes, Address], bool] = lambda said, sender: False  # takes what is no word on serving
         self.sock: socket.socket | None = None
         self._task: Task | None = None
 
@@ -83,9 +84,19 @@
                 said, sender = sock.recvfrom(LONGEST)
             except OSError:  # nothing more, or a peer's port was closed
                 return
+            if sender in self.numbers and self.other(said, sender):
+                continue
             known = self.membership.heard(self.numbers.get(sender, -1), said, self.clock.now())
             self.counters.add("peer.heard" if known else "peer.ignored")
 
+    def post(self, said: bytes, target: Address) -> bool:
+        """Send a datagram of another's to a peer; False where there is no socket."""
+        if self.sock is None:
+            return False
+        with contextlib.suppress(OSError):  # lost, as others are
+            self.sock.sendto(said, target)
+        return True
+
     def _say(self, sock: socket.socket) -> None:
         word = SERVES if self.serves() else OUT
         for target in self.targets:
--- a/pipitledge/upgrade/handover.py
+++ b/pipitledge/upgrade/handover.py
@@ -63,6 +63,7 @@
     lame_since: float | None = None  # when clients were sent away, if they were
     open: list[str] = field(default_factory=list)  # ids of queries that the elder still has
     learned: dict[str, Any] = field(default_factory=dict)  # by the module
+    tier: dict[str, Any] = field(default_factory=dict)  # the node's voice in the tier's policy
 
     def messages(self) -> Iterator[bytes]:
         """Write it as messages; the one that ends them is not among these."""
@@ -77,7 +78,8 @@
         raw = json.loads(text)
         estate = Estate(**raw)
         if not (isinstance(estate.rev, int | None) and isinstance(estate.rows, list) and isinstance(estate.open, list)
-                and all(isinstance(part, Mapping) for part in (estate.out, estate.cold_from, estate.learned))):
+                and all(isinstance(part, Mapping) for part in (estate.out, estate.cold_from, estate.learned,
+                                                             estate.tier))):
             raise ValueError("a field of another kind")
         return estate
     except (ValueError, TypeError) as fault:
--- a/pipitledge/upgrade/household.py
+++ b/pipitledge/upgrade/household.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pipitledge.interface import SettingsChanged
 from pipitledge.node.budget import bodies, budget
@@ -33,6 +34,9 @@
         self.operations, self.told = operations, told
         self.reserved = 0  # descriptors of the print side
         self.peers: Peers | None = None
+        # What hands the node's voice in its tier over to an heir, and takes it up again where that is gone.
+        self.give_voice: Callable[[], dict[str, Any]] = dict
+        self.take_voice: Callable[[], None] = lambda: None
         if told.peer_listen is not None and told.settings.instances > 1:
             from pipitledge.tier.peers import Peers
             self.peers = Peers(front.scheduler, front.clock, front.counters, front.log, told.peer_listen, told.peers,
@@ -112,12 +116,13 @@
         if self.peers is not None:
             self.peers.stop()
         return Estate(group.version, list(group.raw.values()), group.out, group.cold_from, duty.lame_since_ms,
-                      list(self.dispatch.queries), learned), self.front.listener.fileno()
+                      list(self.dispatch.queries), learned, self.give_voice()), self.front.listener.fileno()
 
     def _take_back(self) -> None:
         self.dispatch.over = lambda ids: None
         self._put_in_force()
         self.start()
+        self.take_voice()
         self.front.take_back()
         self.share_out()
 
