--- a/pipitledge/tier/agreement.py
+++ b/pipitledge/tier/agreement.py
@@ -241,6 +241,8 @@
         """Until when this node may admit; infinite where its own word is enough, -infinite where nothing is."""
         if self.stage is Stage.RECOVERING or (self.stage is Stage.JOINT and self.before is None):
             return -math.inf
+        if self._is_torn():
+            return -math.inf
         roster = self.rosters[self.entry.digest]
         sets = [roster.members] if self.stage is Stage.IN_FORCE else [roster.members, roster.was]
         until = math.inf
@@ -250,6 +252,18 @@
             until = min(until, words[needed - 1] if len(words) >= needed else -math.inf)
         return until if self.me in roster.members or self.stage is Stage.JOINT else -math.inf
 
+    def _is_torn(self) -> bool:
+        """Whether this node refuses what it may have accepted before it came back, or has not checked it yet."""
+        candidate = self.candidate
+        return candidate is not None and candidate.digest != self.entry.digest \
+            and self.verdicts.get(candidate.digest, "not checked") != ""
+
+    def _no(self, digest: bytes) -> str:
+        """Why a document is refused here, or nothing. What may have been accepted can't be refused any more."""
+        if self.candidate is not None and self.candidate.digest == digest:
+            return ""
+        return self.verdicts.get(digest, "") if digest else ""
+
     def _word(self, member: str) -> float:
         return math.inf if member == self.me else self.held.get(member, -math.inf) + LEASE_MS
 
@@ -310,6 +324,9 @@
         if self.stage is Stage.JOINT:
             self._say_joined(now)
             self._check_joined(now)
+        if (candidate := self.candidate) is not None and self._is_torn() and candidate.digest not in self.verdicts:
+            self.effects.append(Check(candidate.digest) if candidate.digest in self.rosters
+                                else Want(candidate.digest, tuple(self._everybody())))
         if self.stage is Stage.IN_FORCE:
             self._drive(now)
             self._take_over(now)
@@ -324,7 +341,7 @@
                 self.asks[member] = self._number, now
                 self._send(member, m.Ask(
                     number=self._number, answered=self.answered, proposed=self.about[:4],
-                    refuses=bool(self.verdicts.get(self.about)), **self._top()))
+                    refuses=bool(self._no(self.about)), **self._top()))
 
     # ---- what is heard
 
@@ -407,7 +424,9 @@
         if ask.answered < self.answers:
             return False
         if ask.answered == self.answers and ask.refuses and self.proposed:
-            self.verdicts[self.proposed] = f"{ask.sender} refuses"
+            self._send(self.answers.by, m.Promise(
+                ballot=self.answers, index=self.entry.number + 1, accepted=NO_BALLOT, entry=None,
+                no=f"{ask.sender} refuses", left={}, **self._top()))
             self._raise(self.answers._replace(by=self.answers.by + "~"))
         elif ask.answered > self.promised:
             self._raise(ask.answered)
@@ -477,11 +496,11 @@
         if message.ballot.by == self.me:
             assert self.change is not None
             self.change.votes[self.me] = Vote(self.lives[self.me], {name: now + ms for name, ms in left.items()},
-                                              self.verdicts.get(message.digest, ""), self.accepted, self.candidate)
+                                              self._no(message.digest), self.accepted, self.candidate)
             return
         self._send(message.ballot.by, m.Promise(
             ballot=message.ballot, index=message.index, accepted=self.accepted, entry=self.candidate,
-            no=self.verdicts.get(message.digest, "") if message.digest else "", left=left, **self._top()))
+            no=self._no(message.digest), left=left, **self._top()))
 
     def _accept(self, message: m.Accept, now: float) -> None:
         if message.entry.number != self.entry.number + 1 or self.stage is not Stage.IN_FORCE:
@@ -492,6 +511,9 @@
             self._send(message.sender, m.Outbid(ballot=message.ballot, index=message.entry.number, higher=self.promised,
                                                 **self._top()))
             return
+        if message.entry.digest != self.entry.digest and self.verdicts.get(message.entry.digest, "-") \
+                and self.candidate != message.entry:
+            return  # not checked here, or refused
         if message.ballot > self.promised:
             self.promised, self.proposed = message.ballot, message.entry.digest
         self.answers, self.heard_of_ms = self.promised, now
@@ -657,12 +679,12 @@
 
     def _check_accepts(self, change: Change, now: float) -> bool:
         # Of those alone whose promise binds: nobody has got a lease from them who has not answered.
-        votes = self._valid(change)
-        accepts = [member for member, life in change.accepts.items()
-                   if member in votes and not votes[member].no and self._is_valid(member, life)]
+        assert change.entry is not None
+        votes, asked = self._valid(change), change.entry.digest == change.digest
+        accepts = [member for member, life in change.accepts.items() if member in votes
+                   and not (asked and votes[member].no) and self._is_valid(member, life)]
         if not self._counts(accepts, self.members):
             return False
-        assert change.entry is not None
         self._learn(change.entry, now)
         return True
 
--- a/pipitledge/tier/shelf.py
+++ b/pipitledge/tier/shelf.py
@@ -29,7 +29,8 @@
     size: int = -1
     parts: dict[int, bytes] = field(default_factory=dict)
     step: int = 0  # bytes of a piece, by the first that came
-    asked: dict[int, float] = field(default_factory=dict)  # when, by offset
+    asked: dict[int, float] = field(default_factory=dict)  # when last, by offset
+    heard_ms: float = -math.inf  # when the source was first asked, or its last piece came
 
     @property
     def source(self) -> str:
@@ -39,7 +40,7 @@
     def restart(self) -> None:
         """Begin again with the next source."""
         self.turn += 1
-        self.size, self.step, self.parts, self.asked = -1, 0, {}, {}
+        self.size, self.step, self.parts, self.asked, self.heard_ms = -1, 0, {}, {}, -math.inf
 
 
 class Shelf:
@@ -83,11 +84,12 @@
         """Which pieces to ask for now: of whom, digest, offset."""
         asks: list[tuple[str, bytes, int]] = []
         for digest, coming in self.coming.items():
-            if coming.asked and min(coming.asked.values()) < now - 4.0 * AGAIN_MS:
+            if coming.heard_ms > -math.inf and now - coming.heard_ms > 5.0 * AGAIN_MS:
                 coming.restart()
+            coming.heard_ms = max(coming.heard_ms, now) if coming.heard_ms == -math.inf else coming.heard_ms
             for offset in self._missing(coming)[:WINDOW]:
                 if now - coming.asked.get(offset, -math.inf) >= AGAIN_MS:
-                    coming.asked.setdefault(offset, now)
+                    coming.asked[offset] = now
                     asks.append((coming.source, digest, offset))
         return asks
 
@@ -104,7 +106,7 @@
             return None
         return len(packed), packed[offset:offset + most]
 
-    def came(self, piece: Piece) -> document.Document | None:
+    def came(self, piece: Piece, now: float) -> document.Document | None:
         """Take a piece; the document, once it is whole and is the one."""
         coming = self.coming.get(piece.digest)
         if coming is None or not 0 < piece.size <= document.MOST or not piece.data \
@@ -117,7 +119,7 @@
         if piece.offset % coming.step or piece.offset + len(piece.data) > coming.size \
                 or len(piece.data) != min(coming.step, coming.size - piece.offset):
             return None
-        coming.parts[piece.offset] = piece.data
+        coming.parts[piece.offset], coming.heard_ms = piece.data, now
         coming.asked.pop(piece.offset, None)
         if self._missing(coming):
             return None
--- a/pipitledge/tier/side.py
+++ b/pipitledge/tier/side.py
@@ -227,7 +227,7 @@
         if isinstance(message, m.Pull):
             self._tell_piece(message)
         elif isinstance(message, m.Piece):
-            if (made := self.shelf.came(message)) is not None:
+            if (made := self.shelf.came(message, now)) is not None:
                 self.node.arrived(self._keep(made), _roster(made), now)
         else:
             self.node.receive(message, now)
@@ -237,8 +237,9 @@
             self.task.wake()
 
     def _tell_piece(self, pull: m.Pull) -> None:
-        empty = m.Piece(digest=pull.digest, offset=pull.offset, size=0, data=b"", **self.node._top())
-        room = min(self.carrier.most - m.OVERHEAD - len(m.encode(empty)) - 12, ONCE)
+        # All pieces of a document but its last have one size, however many bytes their numbers take.
+        empty = m.Piece(digest=pull.digest, offset=document.MOST, size=document.MOST, data=b"", **self.node._top())
+        room = min(self.carrier.most - m.OVERHEAD - len(m.encode(empty)) - 4, ONCE) // 8 * 8
         if (piece := self.shelf.piece(pull.digest, pull.offset, room)) is not None:
             self._send(pull.sender, m.Piece(digest=pull.digest, offset=pull.offset, size=piece[0], data=piece[1],
                                             **self.node._top()))
