--- a/pipitledge/emulator/fleet.py
+++ b/pipitledge/emulator/fleet.py
@@ -43,7 +43,7 @@
 from pipitledge.tier import messages as m
 
 TAGS = ("tag-a", "tag-b")
-WAIT_MS = 30_000.0  # for anything to happen; a run in which it does not has failed
+WAIT_MS = 15_000.0  # for anything to happen; a run in which it does not has failed
 ANY = "*"
 
 
@@ -333,6 +333,7 @@
         self.lines: list[str] = []
         self.paused = False
         self.starts = 0
+        self.leased = False
         self.waiters: list[Task] = []
         self.client = self.listen
 
@@ -367,7 +368,7 @@
                "PYTHONPATH": str(pathlib.Path(__file__).parents[2])}
         self.process = subprocess.Popen([sys.executable, "-m", "pipitledge"], stdout=subprocess.PIPE,
                                         stderr=subprocess.STDOUT, env=env)
-        self.paused = False
+        self.paused = self.leased = False
         self.starts += 1
         assert self.process.stdout is not None
         os.set_blocking(self.process.stdout.fileno(), False)
@@ -394,6 +395,8 @@
     def heard(self, line: str) -> None:
         """A line of the log."""
         self.lines.append(line)
+        if " tier lease=" in line:
+            self.leased = " lease=held" in line
         if " fault " in line:
             self.fleet.faults.append(f"{self.name}: {line}")
         self.fleet.logged(self.name, line)
@@ -444,6 +447,7 @@
         self.workers: list[WorkerServer] = []
         self.watchers: list[tuple[str, str, Callable[[str, str], None]]] = []
         self.seen: list[Seen] = []
+        self.killed_jobs: set[str] = set()
         self.version, self.versions = 1, {1: "first"}
         classes, seen, racks = (*site.CLASSES, *TAGS), Counter[str](), dict[int, Rack]()
         for machine in site.machines(workers):
@@ -538,9 +542,30 @@
         return rule
 
     def _leased(self, name: str) -> bool:
-        marks = [line for line in self.nodes[name].lines if " tier lease=" in line or " ready name=" in line]
-        return (bool(marks) and " lease=held" in marks[-1]) or (any(
-            " lease=held" in line for line in marks[-2:]) and " lease=lost" not in marks[-1])
+        return self.nodes[name].leased
+
+    def admits(self, name: str) -> bool:
+        """Whether a node has a lease, as it has logged."""
+        return self.nodes[name].runs and self.nodes[name].leased
+
+    def kill(self, name: str) -> None:
+        """End a node as a power cut does; what it had taken dies with it."""
+        node = self.nodes[name]
+        self.killed_jobs |= {job for job, story in self.audit.jobs.items() if not story.finals}
+        node.kill()
+
+    def upgrade(self, name: str) -> None:
+        """Start a second process that takes the place of a node's first one; that one is told to end once it has."""
+        node = self.nodes[name]
+        if not node.runs:
+            return
+        elder, node.console = node.process, free_port()
+        node.start()
+
+        def end(_: str, line: str) -> None:
+            if elder is not None and elder.poll() is None:
+                elder.terminate()
+        self.watchers.append((name, "claimed=True", end))
 
     def story(self) -> str:
         """The last lines of each node, for people."""
@@ -568,15 +593,13 @@
                 stream.close()
 
         self.scheduler.spawn(ask)
-        self.until(lambda: bool(answer), f"{name} answers {line[:20]}", 6_000.0)
-        return answer[0]
+        self.until(lambda: bool(answer) or not self.nodes[name].runs, f"{name} answers {line[:20]}", 6_000.0)
+        return answer[0] if answer else "-ERR down"
 
     def status(self, name: str) -> dict[str, Any]:
-        """POLICY STATUS of a node."""
+        """POLICY STATUS of a node; nothing of one that does not answer."""
         answer = self.call(name, "POLICY STATUS")
-        if not answer.startswith("+OK "):
-            raise AssertionError(answer)
-        found: dict[str, Any] = json.loads(answer[4:])
+        found: dict[str, Any] = json.loads(answer[4:]) if answer.startswith("+OK ") else {}
         return found
 
     def propose(self, name: str, made_from: str = "-", label: str = "", **changes: Any) -> str:
@@ -613,7 +636,7 @@
     def stands(self, name: str) -> tuple[int, str]:
         """Version and stage that a node has logged last since its start."""
         for line in reversed(self.nodes[name].lines):
-            if " tier stage=" in line and " version=" in line and " refused=" not in line:
+            if " tier stage=" in line and " version=" in line:
                 stage = line.split(" stage=")[1].split(" version=")[0]
                 return int(line.split(" version=")[1].split()[0]), stage
         return 0, ""
@@ -718,3 +741,5 @@
     outcomes: list[tuple[str, str]] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     seconds: float = 0.0
+    armed: int = 0  # faults that waited for a message
+    fired: int = 0  # and those whose message came
--- a/pipitledge/tier/side.py
+++ b/pipitledge/tier/side.py
@@ -122,7 +122,7 @@
         self.node.held.update(held)
 
     def _agreement(self, memory: Memory | None, documents: Mapping[bytes, Document]) -> Agreement:
-        first = m.genesis(self.shelf.put(self.first))
+        first = m.genesis(self._keep(self.first))
         node = Agreement(self.tier.name, first, _roster(self.first), boot_ms(), Random(os.urandom(16)), memory,
                          self.tier.unanimous, int(time.time()))
         for made in documents.values():
@@ -192,7 +192,7 @@
         if self.admits():
             return None
         self.counters.add("answer.tier-no-lease")
-        self.log("tier", refused="no lease", stage=self.node.stage.value, version=self.node.entry.version)
+        self.log("tier-refused", why="no lease", stage=self.node.stage.value, version=self.node.entry.version)
         settings = self.household.told.settings
         return Throttle(settings.max_retry_after_ms if settings.retry_after else 0.0)
 
@@ -567,7 +567,7 @@
                   "accepted": node.candidate is not None} if node.heard_of_ms < float("inf") else None
         return {"node": node.me, "stage": node.stage.value, "version": node.entry.version,
                 "name": self._name(node.entry.digest), "digest": node.entry.digest.hex(),
-                "admits": self.admits(), "lease_ms": None if lease == float("inf") else max(0, round(lease)),
+                "admits": self.admits(), "lease_ms": None if lease == float("inf") else round(max(0.0, lease)),
                 "needs": dict(zip(("decision", "lease"), ag.quorum(len(members), node.unanimous), strict=True)),
                 "members": members, "change": change, "broken": self.broken,
                 "outcomes": {digest: {"result": result, "why": why} for digest, (result, why) in self.outcomes.items()}}
