--- a/pipitledge/cli/main.py
+++ b/pipitledge/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import json
 import os
 import pathlib
@@ -226,6 +227,33 @@
     serve_printer(listen, name, print_ms)
 
 
+class Later(click.Group):
+    """A group whose commands are imported when one of them is asked for: most calls need none of them."""
+
+    def __init__(self, module: str, attribute: str, **told: object) -> None:
+        """Know where the group is."""
+        super().__init__(**told)  # type: ignore[arg-type]
+        self.module, self.attribute = module, attribute
+
+    def _group(self) -> click.Group:
+        group: click.Group = getattr(importlib.import_module(self.module), self.attribute)
+        return group
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """The names of its commands."""
+        return self._group().list_commands(ctx)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """One of its commands."""
+        return self._group().get_command(ctx, cmd_name)
+
+
+main.add_command(Later("pipitledge.cli.policy", "policy", name="policy",
+                       help="One policy for the whole tier: propose a change, see where each node stands."))
+main.add_command(Later("pipitledge.cli.fleet", "fleet", name="fleet",
+                       help="Several nodes as processes, faults between them, and an audit."))
+
+
 @main.command()
 @click.argument("shell", type=click.Choice(["bash", "zsh", "fish"]))
 def completion(shell: str) -> None:
