--- a/pipitledge/emulator/fleet.py
+++ b/pipitledge/emulator/fleet.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import json
+import math
 import os
 import pathlib
 import random
@@ -62,14 +63,28 @@
     return settings_from({**base, "lanes": [*base["lanes"], {**base["lanes"][0], "name": TAGS[1]}]})
 
 
-def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> Address:
-    """A loopback address that nobody has just now."""
-    with socket.socket(socket.AF_INET, kind) as free:
+def free_port() -> Address:
+    """A loopback address for datagrams that nobody has just now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
         free.bind(("127.0.0.1", 0))
         address: Address = free.getsockname()
         return address
 
 
+def reserved(hold: list[socket.socket]) -> Address:
+    """A loopback address for connections that is ours until the socket in `hold` is closed.
+
+    Bound and not listening, it keeps the system from giving the port to anybody else; a node's listener may share it.
+    """
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    held.bind(("127.0.0.1", 0))
+    hold.append(held)
+    address: Address = held.getsockname()
+    return address
+
+
 def peek(frame: bytes) -> m.Any | None:
     """Read a frame as it passes, sealed or not."""
     try:
@@ -325,8 +340,8 @@
     def __init__(self, fleet: Fleet, name: str) -> None:
         """Take addresses; `start` starts it."""
         self.fleet, self.name = fleet, name
-        self.listen, self.console, self.tier = free_port(), free_port(), free_port()
-        self.peer = free_port(socket.SOCK_DGRAM)
+        self.listen, self.console, self.tier = (reserved(fleet.hold) for _ in range(3))
+        self.peer = free_port()
         self.folder = fleet.folder / name
         (self.folder / "tmp").mkdir(parents=True, exist_ok=True)
         self.process: subprocess.Popen[bytes] | None = None
@@ -344,7 +359,7 @@
             self.name, self.listen, fleet.discovery.address, list(fleet.discovery.model.rows.values()), 1))
         names = list(fleet.nodes)
         number = names.index(self.name) if self.name in names else len(names)
-        raw["settings"] = stated(version, n_instances=fleet.count, my_number=number)
+        raw["settings"] = stated(version, n_instances=max(fleet.count, number + 1), my_number=number)
         raw["tier"] = {"name": self.name, "members": fleet.members(), "changes_need": fleet.needs}
         if fleet.datagrams:
             raw["peer_listen"] = "{}:{}".format(*self.peer)
@@ -437,6 +452,7 @@
         self.datagrams, self.disks, self.key, self.needs = datagrams, disks, key, needs
         self.clock = Clock()
         self.faults: list[str] = []
+        self.hold: list[socket.socket] = []
         self.scheduler = Scheduler(Timers(self.clock.now), self._crashed)
         self.crashes: list[BaseException] = []
         self.network = Network(self.scheduler, self.clock, seed)
@@ -448,7 +464,8 @@
         self.watchers: list[tuple[str, str, Callable[[str, str], None]]] = []
         self.seen: list[Seen] = []
         self.killed_jobs: set[str] = set()
-        self.version, self.versions = 1, {1: "first"}
+        self.version = 1
+        self.proposed_ms: dict[int, float] = {}  # when the settings of a version were first proposed
         classes, seen, racks = (*site.CLASSES, *TAGS), Counter[str](), dict[int, Rack]()
         for machine in site.machines(workers):
             model = Worker(machine, racks.setdefault(machine.cell, Rack(7_500.0)), self.audit)
@@ -495,6 +512,8 @@
         for sock in listeners:
             self.scheduler.forget(sock.fileno())
             sock.close()
+        for held in self.hold:
+            held.close()
         for relay in self._datagram_relays.values():
             self.scheduler.forget(relay.sock.fileno())
             relay.sock.close()
@@ -559,7 +578,7 @@
         node = self.nodes[name]
         if not node.runs:
             return
-        elder, node.console = node.process, free_port()
+        elder, node.console = node.process, reserved(self.hold)
         node.start()
 
         def end(_: str, line: str) -> None:
@@ -609,6 +628,8 @@
             body["settings"] = {key: value for key, value in stated(self.version + 1).items()
                                 if key not in ("my_number", "n_instances", "zone")}
         text = json.dumps(body | changes).encode()
+        if "settings" in body:
+            self.proposed_ms.setdefault(self.version + 1, self.clock.now())
         answer = self.call(name, f"POLICY PROPOSE {len(text)} {made_from}", text)
         return str(json.loads(answer[4:])["id"]) if answer.startswith("+OK") else answer
 
@@ -714,7 +735,8 @@
         first: dict[int, Seen] = {}
         version = 1
         for seen in proofs:
-            if TAGS.index(seen.tag) == version % 2:  # the other tag than the one in force: the next version
+            # The other tag than the one in force: of the next version, if that was proposed at all by then.
+            if TAGS.index(seen.tag) == version % 2 and self.proposed_ms.get(version + 1, math.inf) <= seen.answered_ms:
                 version += 1
                 first[version] = seen
         for seen in proofs:
--- a/pipitledge/emulator/schedule.py
+++ b/pipitledge/emulator/schedule.py
@@ -16,6 +16,7 @@
 
 import pathlib
 import random
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -106,8 +107,12 @@
         elif word in ("disks", "sealed") and not rest:
             setattr(schedule, word, True)
         elif word in ("loss", "repeat") and len(rest) == 1:
+            if not re.fullmatch(r"[0-9.]+%", rest[0]):
+                raise ValueError(f"{word}: a share such as 10%")
             setattr(schedule, word, units.share(rest[0]))
         elif word == "delay" and len(rest) == 3 and rest[1] == "to":
+            if not all(re.fullmatch(r"[0-9.]+(ms|s|m)", word) for word in (rest[0], rest[2])):
+                raise ValueError("delay: times such as 2ms to 25ms")
             schedule.delay_ms = units.time_ms(rest[0]), units.time_ms(rest[2])
         elif word == "load" and len(rest) == 1:
             schedule.load = float(units.count(rest[0]))
--- a/pipitledge/tier/agreement.py
+++ b/pipitledge/tier/agreement.py
@@ -116,6 +116,7 @@
     digest: bytes
     result: str
     why: str
+    winner: bytes = b""  # the document that was decided in its place
 
 
 class Note(NamedTuple):
@@ -589,9 +590,9 @@
             self._dropped(drop, now)
         self._over("dropped", why)
 
-    def _over(self, result: str, why: str) -> None:
+    def _over(self, result: str, why: str, winner: bytes = b"") -> None:
         if self.wanted:
-            self.effects.append(Outcome(self.wanted, result, why))
+            self.effects.append(Outcome(self.wanted, result, why, winner))
         self.change, self.wanted, self.wanted_since, self.asked_accept = None, b"", math.inf, False
 
     def _drive(self, now: float) -> None:
@@ -797,8 +798,10 @@
         if self.wanted and entry.digest == self.wanted:
             self._over("in force", f"version {entry.version}")
         elif self.wanted:
-            self._over("lost", f"version {entry.version} came first" if entry.version > former
-                       else "the others have given it up")
+            if entry.version > former:
+                self._over("lost", f"version {entry.version} came first", entry.digest)
+            else:
+                self._over("lost", "the others have given it up")
         self.change = None
 
     def _say_joined(self, now: float) -> None:
--- a/pipitledge/tier/side.py
+++ b/pipitledge/tier/side.py
@@ -102,7 +102,7 @@
         self.first = first_document(told, self.tier)
         self.seal = m.Seal(read_key(self.tier.key_file) if self.tier.key_file else b"", int(time.time() * 1_000.0))
         self.compiled: dict[bytes, Compiled] = {}
-        self.outcomes: dict[str, tuple[str, str]] = {}
+        self.outcomes: dict[str, tuple[str, str, bytes]] = {}
         self.history: deque[dict[str, Any]] = deque(maxlen=HISTORY)
         self.kept: deque[bytes] = deque(maxlen=KEPT)
         self.checking: set[bytes] = set()
@@ -292,15 +292,18 @@
             self.log(effect.event, **effect.fields)
 
     def _told(self, outcome: ag.Outcome) -> None:
-        why = outcome.why
-        if outcome.result == "lost" and (made := self.shelf.read.get(
-                self.node.pending.digest if self.node.pending else self.node.entry.digest)) is not None:
-            why += f": {made.name!r} of {made.by or 'the files'}"
-        self.outcomes[outcome.digest.hex()] = outcome.result, why
+        self.outcomes[outcome.digest.hex()] = outcome.result, outcome.why, outcome.winner
         while len(self.outcomes) > OUTCOMES:
             del self.outcomes[next(iter(self.outcomes))]
         self.counters.add(f"tier.change.{outcome.result.replace(' ', '-')}")
-        self.log("tier", change=self._name(outcome.digest), result=outcome.result, why=why)
+        self.log("tier", change=self._name(outcome.digest), result=outcome.result, why=outcome.why)
+
+    def _became(self, change: str) -> dict[str, str]:
+        """What became of a change proposed here; the winner's name is known once its document is here."""
+        result, why, winner = self.outcomes[change]
+        if (made := self.shelf.read.get(winner)) is not None:
+            why += f": {made.name!r} of {made.by or 'the files'}"
+        return {"result": result, "why": why}
 
     def _name(self, digest: bytes) -> str:
         made = self.shelf.read.get(digest)
@@ -355,6 +358,9 @@
                 raise ConfigError(f"members.{name}: {fault}") from fault
         settings = document.placed(made, self.told.raw["settings"])
         config = node_config.under(self.told, settings, os.environ, told, against)
+        zone, zones = settings.get("zone", 0), settings.get("zones") or [""]
+        if not isinstance(zone, int) or not 0 <= zone < len(zones):
+            raise ConfigError(f"settings.zones: this node's zone {zone} is none of {len(zones)}")
         loader = Loader(config.settings, {name.decode(): number for name, number in config.names.classes.items()})
         if not made.plans:
             return Compiled(config, Plans(), loader)
@@ -511,8 +517,7 @@
 
     def _outcome(self, digest: str) -> str:
         if digest in self.outcomes:
-            result, why = self.outcomes[digest]
-            return Yes(json.dumps({"result": result, "why": why}))
+            return Yes(json.dumps(self._became(digest)))
         if self.node.wanted.hex() == digest:
             return Yes(json.dumps({"result": "under way", "why": ""}))
         return "no such change was proposed here"
@@ -570,7 +575,7 @@
                 "admits": self.admits(), "lease_ms": None if lease == float("inf") else round(max(0.0, lease)),
                 "needs": dict(zip(("decision", "lease"), ag.quorum(len(members), node.unanimous), strict=True)),
                 "members": members, "change": change, "broken": self.broken,
-                "outcomes": {digest: {"result": result, "why": why} for digest, (result, why) in self.outcomes.items()}}
+                "outcomes": {change: self._became(change) for change in self.outcomes}}
 
 
 def _roster(made: Document) -> Roster:
