--- a/pipitledge/emulator/schedule.py
+++ b/pipitledge/emulator/schedule.py
@@ -239,8 +239,9 @@
             fleet.upgrade(rest[0])
         elif word == "cut":
             fleet.network.cuts.add((rest[0], rest[1]))
-        elif word == "heal":
+        elif word == "heal":  # a fault whose message has not come is withdrawn, so that two never add up
             fleet.network.cuts.clear()
+            fleet.network.rules.clear()
         elif word == "hold":
             kind = rest[0]
             fleet.network.hold = lambda sender, what, to: kind in (ANY, what)
--- a/pipitledge/tier/agreement.py
+++ b/pipitledge/tier/agreement.py
@@ -32,7 +32,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from random import Random
@@ -378,9 +378,8 @@
             self._fetch(sender, now)
         elif index == self.entry.number and message.stand % 2 and self.stage is Stage.JOINT:
             self._in_force(now)
-        handler = self._HANDLERS.get(type(message))
-        if handler is not None:
-            handler(self, message, now)
+        if (handler := self._HANDLERS.get(type(message))) is not None:
+            getattr(self, handler)(message, now)
 
     def _merge(self, lives: Mapping[str, int]) -> None:
         for member, life in lives.items():
@@ -979,10 +978,10 @@
         self.effects.append(Moved())
         self._renew(now)
 
-    _HANDLERS: ClassVar[dict[type, Callable[[Agreement, Any, float], None]]] = {
-        m.Ask: _asked, m.Grant: _granted, m.Prepare: _prepared, m.Promise: _promised, m.Outbid: _outbid,
-        m.Accept: _accept, m.Accepted: _was_accepted, m.Drop: _dropped, m.Joined: _has_joined,
-        m.Fetch: _fetch_asked, m.Told: _was_told}
+    _HANDLERS: ClassVar[dict[type, str]] = {
+        m.Ask: "_asked", m.Grant: "_granted", m.Prepare: "_prepared", m.Promise: "_promised", m.Outbid: "_outbid",
+        m.Accept: "_accept", m.Accepted: "_was_accepted", m.Drop: "_dropped", m.Joined: "_has_joined",
+        m.Fetch: "_fetch_asked", m.Told: "_was_told"}
 
 
 @dataclass(slots=True)
