Check attempt plans against attempts that the module gives up for their silence

Need: pipitledge check took attempts 2 with retry-on timeout for a class that must never run twice where no attempt-timeout is set: it reckoned that a time-out comes only at the total, but the module calls a silent attempt off sooner (Policy._doubt), and that counts as timed out. Change: Rules have the soonest such end by the settings; model and search have it too. Plans are found by a class's number: with a class that had vanished the list's place was another's, or none, which failed the request.

--- a/pipitledge/attempts/check.py
+++ b/pipitledge/attempts/check.py
@@ -3,7 +3,8 @@
 What a plan makes the node do, in whole milliseconds from the request's arrival, T its total time-out:
 
 - Attempt 1 goes out at 0 or later. Nothing goes out at T or after it.
-- An attempt ends after e: a time-out exactly at its time-out A, anything else at any time before it.
+- An attempt ends after e: a time-out exactly at its time-out A, anything else at any time before it. One that shows no
+  sign of life for so long as the settings make the module wait is given up by it, as if timed out, from then on.
 - Out for d, it gets one copy, if an attempt is left. Copies get none. One that ends at d may still have got it.
 - When all that is out has ended, each in an outcome of retry-on, and an attempt is left, the next one goes out
   after the back-off, anywhere in its range, and after it was held for room, for the hold time-out at most.
@@ -19,6 +20,7 @@
 
 from pipitledge.conf.units import show_ms
 from pipitledge.interface import Repeat, Scope, Settings
+from pipitledge.policy import SILENT, SILENT_MS
 
 MAY_HAVE_RUN = ("reset", "error", "timeout")  # in the order in which examples name them
 AT_ONCE = frozenset({"connect-failed", "full", "reset", "error"})  # can end an attempt at any time
@@ -35,6 +37,7 @@
     max_attempts: int
     second_copies: bool
     cancel: bool
+    silent_ms: int | None = None  # the soonest that the module gives a silent attempt up; None: never
 
     @classmethod
     def of(cls, settings: Settings, index: int) -> Rules:
@@ -42,7 +45,16 @@
         job = settings.classes[index]
         return cls(int(job.deadline_ms), job.repeat, job.scope,
                    max(0, int(job.window_ms - settings.resolution_ms)), settings.max_attempts,
-                   settings.second_copies, settings.cancel)
+                   settings.second_copies, settings.cancel, _silent_ms(settings, job.repeat))
+
+
+def _silent_ms(settings: Settings, repeat: Repeat) -> int | None:
+    """The soonest that `Policy._doubt` gives an attempt up for its silence."""
+    if settings.in_order and repeat is not Repeat.UNSAFE:  # one that later sends have passed
+        return int(SILENT_MS)
+    if not settings.cancel or not settings.progress_ms:
+        return None
+    return int(SILENT * settings.progress_ms + SILENT_MS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,11 +69,12 @@
     backoff_ms: tuple[int, int]
     copy_ms: int | None
     copy_learned: bool = False  # then copy_ms is the least that may be learned, and the most is the time-out
+    silent_ms: int | None = None  # of the rules: from when on a silent attempt may be given up
 
     def within(self, rules: Rules) -> Numbers:
         """What is left of it once what the other clauses refuse is cut to size."""
         return replace(self, attempts=min(self.attempts, rules.max_attempts),
-                       total_ms=min(self.total_ms, rules.deadline_ms))
+                       total_ms=min(self.total_ms, rules.deadline_ms), silent_ms=rules.silent_ms)
 
     @property
     def longest_ms(self) -> int:
@@ -75,7 +88,8 @@
         """The soonest that an attempt can end in one of these and be followed; None: it can't."""
         if outcomes & AT_ONCE:
             return 0
-        return self.attempt_ms if "timeout" in outcomes else None
+        given_up = [ms for ms in (self.attempt_ms, self.silent_ms) if ms is not None]
+        return min(given_up) if given_up and "timeout" in outcomes else None
 
     def copies(self) -> tuple[int, int] | None:
         """From when to when after an attempt its copy can go out; None: there is none."""
@@ -119,7 +133,7 @@
 
 def _counts(numbers: Numbers, rules: Rules) -> Iterator[Breach]:
     """More sends than the settings allow, where they can all be made in time."""
-    plan = replace(numbers, total_ms=min(numbers.total_ms, rules.deadline_ms))
+    plan = replace(numbers, total_ms=min(numbers.total_ms, rules.deadline_ms), silent_ms=rules.silent_ms)
     at = _soonest(plan, rules.max_attempts + 1) if plan.attempts > rules.max_attempts else None
     if at is not None and at < plan.total_ms:
         yield Breach(("attempts",), f"attempts {plan.attempts} is over what the settings allow (max_attempts "
--- a/pipitledge/attempts/plans.py
+++ b/pipitledge/attempts/plans.py
@@ -55,14 +55,20 @@
         if not self.classes:
             return UNLIMITED
         if not self.routes:
-            return self.classes[job_class].plan
+            return self._of_class(job_class)
         plan = self._found.get(path)
         if plan is None:
             if len(self._found) >= MOST_FOUND:  # paths with a client's own number in them
                 self._found.clear()
-            plan = self._found[path] = self._tree.find(path) or self.classes[job_class].plan
+            plan = self._found[path] = self._tree.find(path) or self._of_class(job_class)
         return plan
 
+    def _of_class(self, job_class: int) -> Plan:
+        """A class's own plan. Numbers have gaps once a class has vanished from the settings."""
+        if job_class < len(self.classes) and self.classes[job_class].job_class == job_class:
+            return self.classes[job_class].plan
+        return next((entry.plan for entry in self.classes if entry.job_class == job_class), UNLIMITED)
+
 
 @dataclass(slots=True)
 class Loaded:
--- a/tests/test_attempts_model.py
+++ b/tests/test_attempts_model.py
@@ -8,11 +8,13 @@
 
 import functools
 import itertools
+from dataclasses import replace
 
 import pytest
 
 from pipitledge.attempts import check as checker
 from pipitledge.attempts.check import Numbers, Rules, check
+from pipitledge.emulator import site
 from pipitledge.interface import Repeat, Scope
 
 SETS = [frozenset(names.split()) for names in (
@@ -50,6 +52,9 @@
         for outcome in plan.retry_on:
             if outcome == "timeout":
                 times = [sent + plan.attempt_ms] if plan.attempt_ms is not None else []
+                if self.rules.silent_ms is not None:  # given up for its silence
+                    times += range(sent + self.rules.silent_ms,
+                                   plan.total_ms if plan.attempt_ms is None else sent + plan.attempt_ms)
             else:
                 times = list(range(sent, plan.total_ms if plan.attempt_ms is None else sent + plan.attempt_ms))
             found += [(time, outcome) for time in times if time < plan.total_ms]
@@ -105,11 +110,16 @@
 
 
 def rules() -> list[Rules]:
-    return [Rules(deadline, repeat, Scope.CELL, window, most, copies, True)
-            for deadline, repeat, window, most, copies in (
-                (8, Repeat.SAFE, 0, 3, False), (8, Repeat.SAFE, 0, 4, True), (8, Repeat.UNSAFE, 0, 4, True),
-                (5, Repeat.UNSAFE, 0, 2, False), (8, Repeat.KEYED, 0, 4, True), (8, Repeat.KEYED, 2, 4, True),
-                (8, Repeat.KEYED, 4, 3, True), (8, Repeat.KEYED, 5, 4, False), (8, Repeat.KEYED, 7, 4, True))]
+    return [Rules(deadline, repeat, Scope.CELL, window, most, copies, True, silent)
+            for deadline, repeat, window, most, copies, silent in (
+                (8, Repeat.SAFE, 0, 3, False, None), (8, Repeat.SAFE, 0, 4, True, 2),
+                (8, Repeat.UNSAFE, 0, 4, True, None), (8, Repeat.UNSAFE, 0, 4, True, 2),
+                (8, Repeat.UNSAFE, 0, 4, True, 7),
+                (5, Repeat.UNSAFE, 0, 2, False, None), (5, Repeat.UNSAFE, 0, 2, False, 1),
+                (8, Repeat.KEYED, 0, 4, True, None), (8, Repeat.KEYED, 2, 4, True, None),
+                (8, Repeat.KEYED, 4, 3, True, None), (8, Repeat.KEYED, 5, 4, False, None),
+                (8, Repeat.KEYED, 5, 4, False, 1), (8, Repeat.KEYED, 7, 4, True, None),
+                (8, Repeat.KEYED, 7, 4, True, 2))]
 
 
 def disagreements(every: int, start: int = 0) -> list[tuple[Numbers, Rules, bool, list[checker.Breach]]]:
@@ -134,3 +144,13 @@
 def test_without_any_clause_the_search_finds_what_slips_through(monkeypatch: pytest.MonkeyPatch, clause: str) -> None:
     monkeypatch.setattr(checker, clause, lambda *_: ())
     assert any(breaks and not breaches for _, _, breaks, breaches in disagreements(every=41))
+
+
+def test_what_the_module_gives_up_for_its_silence_counts_as_timed_out() -> None:
+    """Found while measuring: without a time-out of its own an attempt was taken to end only with the total one."""
+    settings = site.settings()
+    unsafe = next(index for index, job in enumerate(settings.classes) if job.repeat is Repeat.UNSAFE)
+    plan = Numbers(2, frozenset({"timeout"}), None, 5_000, None, (0, 0), None)
+    [breach] = check(plan, Rules.of(settings, unsafe))
+    assert "timeout at 2.4s" in breach.text and "attempt 2 can go out at 2.4s" in breach.text
+    assert not check(plan, Rules.of(replace(settings, progress_ms=0.0), unsafe))
