--- a/pipitledge/tier/side.py
+++ b/pipitledge/tier/side.py
@@ -417,11 +417,13 @@
         self.compiled = {digest: made for digest, made in self.compiled.items() if digest in keeps}
         if self.store is not None:
             self._disk(lambda store: store.keep(keeps))
-        made = self.shelf.read[node.entry.digest]
-        self.history.append({"at": time.time(), "version": node.entry.version, "index": node.entry.number,
-                             "stage": node.stage.value, "digest": node.entry.digest.hex(), "name": made.name,
-                             "by": made.by})
         self.lease_until = node.lease_until()
+        made = self.shelf.read[node.entry.digest]
+        stands = {"version": node.entry.version, "index": node.entry.number, "stage": node.stage.value,
+                  "digest": node.entry.digest.hex(), "name": made.name, "by": made.by}
+        if self.history and stands.items() <= self.history[-1].items():
+            return
+        self.history.append({"at": time.time(), **stands})
         self.counters.add(f"tier.{node.stage.value.replace(' ', '-')}")
         self.log("tier", stage=node.stage.value, version=node.entry.version, name=made.name or "-",
                  digest=node.entry.digest.hex()[:8])
