--- a/pipitledge/emulator/fleet.py
+++ b/pipitledge/emulator/fleet.py
@@ -373,6 +373,8 @@
             key.write_bytes(fleet.key)
             raw["tier"]["key_file"] = str(key)
         raw["console"] = "{}:{}".format(*self.console)
+        if not fleet.tier:
+            del raw["tier"]
         return raw
 
     def start(self, version: int = 1, **changes: Any) -> None:
@@ -380,9 +382,9 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps(self.config(version) | changes))
         env = {**os.environ, "BALANCER_CONFIG": str(path), "TMPDIR": str(self.folder / "tmp"),
-               "PYTHONPATH": str(pathlib.Path(__file__).parents[2])}
+               "PYTHONPATH": str(self.fleet.program)}
         self.process = subprocess.Popen([sys.executable, "-m", "pipitledge"], stdout=subprocess.PIPE,
-                                        stderr=subprocess.STDOUT, env=env)
+                                        stderr=subprocess.STDOUT, env=env, cwd=self.fleet.program)
         self.paused = self.leased = False
         self.starts += 1
         assert self.process.stdout is not None
@@ -446,8 +448,13 @@
     """The whole of it. To be closed: `with Fleet(...) as fleet`."""
 
     def __init__(self, folder: pathlib.Path, count: int, seed: int = 1, workers: int = 4, datagrams: bool = False,
-                 disks: bool = False, key: bytes = b"", needs: str = "majority", start: bool = True) -> None:
-        """Start stand-ins and nodes; with `start` all nodes are ready when this returns."""
+                 disks: bool = False, key: bytes = b"", needs: str = "majority", start: bool = True,
+                 tier: bool = True, program: pathlib.Path = pathlib.Path(__file__).parents[2]) -> None:
+        """Start stand-ins and nodes; with `start` all nodes are ready when this returns.
+
+        Without `tier` each node has its own policy; `program` is the checkout whose program is run.
+        """
+        self.tier, self.program = tier, program
         self.folder, self.count, self.seed = folder, count, seed
         self.datagrams, self.disks, self.key, self.needs = datagrams, disks, key, needs
         self.clock = Clock()
@@ -483,7 +490,8 @@
         if start:
             for node in self.nodes.values():
                 node.start()
-            self.until(lambda: all(self._leased(name) for name in self.nodes), "all nodes admit")
+            ready = self._leased if tier else self._is_ready
+            self.until(lambda: all(ready(name) for name in self.nodes), "all nodes admit")
 
     def _add(self, name: str, datagram_relays: dict[str, DatagramRelay]) -> None:
         node = self.nodes[name] = NodeProcess(self, name)
@@ -563,6 +571,9 @@
     def _leased(self, name: str) -> bool:
         return self.nodes[name].leased
 
+    def _is_ready(self, name: str) -> bool:
+        return any(" ready name=" in line for line in self.nodes[name].lines)
+
     def admits(self, name: str) -> bool:
         """Whether a node has a lease, as it has logged."""
         return self.nodes[name].runs and self.nodes[name].leased
--- a/tests/test_tier_agreement.py
+++ b/tests/test_tier_agreement.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pipitledge.emulator.tier_search import Quiet, Search
 from pipitledge.emulator.tier_world import Machine, Violation, World, walk
 from pipitledge.tier import agreement as ag
 from pipitledge.tier import messages as m
@@ -464,3 +465,27 @@
     with pytest.raises(Violation):
         for step in range(1, 12):
             decided_and_not_told(TellsBeforeStoring, step)
+
+
+# ---- every run of a small tier
+
+
+class QuietTwice(Quiet, CountsAVoteTwice):
+    pass
+
+
+class QuietJointAlone(Quiet, JointAlone):
+    pass
+
+
+@pytest.mark.parametrize("told, least", [({"proposers": ("n0",), "passes": 0}, 150),
+                                         ({"crashes": 0, "passes": 0}, 8_000)])
+def test_every_run_of_a_small_tier_keeps_the_rules(told: dict[str, Any], least: int) -> None:
+    search = Search(**told)
+    assert least < search.run(100_000) and search.is_whole(100_000)
+
+
+@pytest.mark.parametrize("make", [QuietTwice, QuietJointAlone])
+def test_the_search_finds_a_bug(make: Callable[..., Agreement]) -> None:
+    with pytest.raises(Violation):
+        Search(crashes=0, passes=1, make=make).run(100_000)
