--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -183,3 +183,28 @@
     for start in sent:
         window = [at for at in sent if start <= at < start + COLD["fall_ms"]]
         assert len(window) * run_ms <= most + run_ms, (len(window), run_ms, most)
+
+
+@hypothesis_settings(derandomize=True, deadline=None, max_examples=60)
+@given(scope=st.sampled_from(list(Scope)), gaps=st.lists(st.integers(1, 150), min_size=2, max_size=12),
+       order=st.permutations(range(6)), seed=st.integers(0, 99))
+def test_a_keyed_job_goes_on_in_its_group_and_window_alone(scope: Scope, gaps: list[int], order: list[int],
+                                                           seed: int) -> None:
+    """Each attempt is lost after a while; those near the first one turn away, so that only others are left."""
+    use = settings(classes=(keyed(scope, 400.0),), zones=2, max_attempts=8, cancel=True)
+    checked = Checked(Driver(use, workers=0, seed=seed))
+    rows = [Worker(f"w{i % 2}{i // 2}{i}", zone=i % 2, cell=10 * (i % 2) + i // 2) for i in order]
+    checked.states = {row.id: State.SERVING for row in rows}
+    checked.driver.list(rows, Listing.FULL)
+    checked.open["job"] = (0, checked.driver.now + 5_000.0)
+    checked.tell(JobArrived("job", 0, 0, 5_000.0))
+    for gap in gaps:
+        if checked.outstanding():
+            index = checked.outstanding()[0][1]
+            worker, at, _ = checked.sends["job"][index]
+            # The first may have run; what follows in its own group is turned away, proven never to have run.
+            result = Result.RESET if index == 0 else Result.FULL
+            checked.sends["job"][index] = worker, at, result
+            checked.tell(AttemptEnded("job", index, worker, result, float(gap), False, {"x0": 0.0}),
+                         after_ms=float(gap))
+        checked.tell(TimerFired(0), after_ms=float(gap))
