Let a change go on past a veto at second hand, and a dead proposer be missed at last

Seen: of 8,000 random schedules of five nodes nine were blocked and one let a refusing node admit at a decision. Cause: a node that had granted a lease to one that refuses outbid the proposer, also where the change may have been decided and has to be finished; it counted as refusing itself. And ballots passed on by others kept a dead proposer alive, and nodes that had accepted the same denied each other their leases. Change: such a no says whose it is, and does not outbid; only the proposer's own word puts a take-over off; an acceptance is told with the request for a lease.

--- a/pipitledge/emulator/tier_search.py
+++ b/pipitledge/emulator/tier_search.py
@@ -100,7 +100,7 @@
         return (value.ballot, value.digest, value.entry, _plain(value.votes), _plain(value.accepts),
                 value.outbid_ms < math.inf)
     if isinstance(value, ag.Vote):
-        return (value.life, _plain(value.until), value.no, value.accepted, value.entry)
+        return (value.life, _plain(value.until), value.no, value.of, value.accepted, value.entry)
     if isinstance(value, m.Message):
         return m.encode(value)
     return value
--- a/pipitledge/tier/agreement.py
+++ b/pipitledge/tier/agreement.py
@@ -142,6 +142,7 @@
     life: int
     until: dict[str, float] = field(default_factory=dict)  # our time
     no: str = ""
+    of: str = ""  # whose no it is, if not the voter's own
     accepted: Ballot = NO_BALLOT
     entry: Entry | None = None
 
@@ -341,7 +342,8 @@
                 self._number += 1
                 self.asks[member] = self._number, now
                 self._send(member, m.Ask(
-                    number=self._number, answered=self.answered, proposed=self.about[:4],
+                    number=self._number, answered=self.answered,
+                    proposed=(self.candidate.digest if self.candidate is not None else self.about)[:4],
                     refuses=bool(self._no(self.about)), **self._top()))
 
     # ---- what is heard
@@ -426,15 +428,15 @@
         if ask.answered == self.answers and ask.refuses and self.proposed:
             self._send(self.answers.by, m.Promise(
                 ballot=self.answers, index=self.entry.number + 1, accepted=NO_BALLOT, entry=None,
-                no=f"{ask.sender} refuses", left={}, **self._top()))
-            self._raise(self.answers._replace(by=self.answers.by + "~"))
+                no=f"{ask.sender} refuses", left={}, of=ask.sender, **self._top()))
+            self._raise(self.answers._replace(by=self.answers.by + "~"), told=True)
         elif ask.answered > self.promised:
             self._raise(ask.answered)
         return True
 
-    def _raise(self, ballot: Ballot) -> None:
-        """Take part in no lower ballot, without a part in this one."""
-        if self.answers > NO_BALLOT:
+    def _raise(self, ballot: Ballot, told: bool = False) -> None:
+        """Take part in no lower ballot, without a part in this one; tell the one whose it was, if it is not told."""
+        if self.answers > NO_BALLOT and not told:
             self._send(self.answers.by, m.Outbid(ballot=self.answers, index=self.entry.number + 1, higher=ballot,
                                                  **self._top()))
             if self.change is not None and self.change.ballot == self.answers:
@@ -491,12 +493,14 @@
             if self.change is not None and message.ballot > self.change.ballot:
                 self.change.outbid_ms = min(self.change.outbid_ms, now)
             self._store()
-        self.heard_of_ms, self.answered, self.about = now, message.ballot, message.digest
+        if message.sender == message.ballot.by or self.answered != message.ballot:
+            self.heard_of_ms = now  # what others pass on is no sign of life of its proposer's
+        self.answered, self.about = message.ballot, message.digest
         left = self._left(now, message.index, message.ballot)
         if message.ballot.by == self.me:
             assert self.change is not None
             self.change.votes[self.me] = Vote(self.lives[self.me], {name: now + ms for name, ms in left.items()},
-                                              self._no(message.digest), self.accepted, self.candidate)
+                                              self._no(message.digest), "", self.accepted, self.candidate)
             return
         self._send(message.ballot.by, m.Promise(
             ballot=message.ballot, index=message.index, accepted=self.accepted, entry=self.candidate,
@@ -667,7 +671,8 @@
         if digest and (found is None or found.digest == digest):
             # One that refuses is asked no more than one that is silent: its own word ends no lease of its own.
             takes = {member: vote for member, vote in votes.items() if member not in refusers}
-            if not self._counts(takes, self.members) or not self._lapsed(self.members, takes, now):
+            others = {member: vote for member, vote in votes.items() if vote.of}  # they take it, and accept nothing
+            if not self._counts(takes, self.members) or not self._lapsed(self.members, {**takes, **others}, now):
                 return
         change.entry = found if found is not None else self.entry.then(digest)
         if change.entry.digest == self.wanted:
@@ -708,7 +713,7 @@
                 or message.index != self.entry.number + 1:
             return
         vote = Vote(message.lives.get(message.sender, 0), {name: now + ms for name, ms in message.left.items()},
-                    message.no, message.accepted, message.entry)
+                    message.no, message.of, message.accepted, message.entry)
         known = change.votes.get(message.sender)
         if known is not None and known.life == vote.life:  # told again: what it granted only runs out
             vote.until = {name: min(until, known.until.get(name, -math.inf)) for name, until in vote.until.items()}
--- a/pipitledge/tier/messages.py
+++ b/pipitledge/tier/messages.py
@@ -100,7 +100,10 @@
 
 
 class Promise(Message, tag=4):
-    """Promised. `left` is for how many ms each member may still have a lease by this node's word."""
+    """Promised. `left` is for how many ms each member may still have a lease by this node's word.
+
+    A no of another member's, whose `of` it is: this node has given that one a lease, and accepts nothing here.
+    """
 
     ballot: Ballot
     index: int
@@ -108,6 +111,7 @@
     entry: Entry | None  # what was accepted, in which ballot
     no: str  # why the document can't be taken; empty: it can
     left: dict[str, int]
+    of: str = ""
 
 
 class Outbid(Message, tag=5):
