Take an early question's late answer for no proof of a newer version, and name the winner

Seen: two tests of the fleet failed on a machine under load. Cause: the auditor took an answer of version 2 that came after one of version 3 for the first of version 4, though it had been asked for before that was proposed. And a lost change was told while the winner's document was still on its way. Change: only what was asked after a proposal proves its version; the outcome is told once the winner's name is known.

--- a/pipitledge/emulator/fleet.py
+++ b/pipitledge/emulator/fleet.py
@@ -746,8 +746,9 @@
         first: dict[int, Seen] = {}
         version = 1
         for seen in proofs:
-            # The other tag than the one in force: of the next version, if that was proposed at all by then.
-            if TAGS.index(seen.tag) == version % 2 and self.proposed_ms.get(version + 1, math.inf) <= seen.answered_ms:
+            # The other tag than the one in force: of the next version, if it was asked for after that was proposed. An
+            # answer to an earlier question may be of the version before the one in force, and late on its way.
+            if TAGS.index(seen.tag) == version % 2 and self.proposed_ms.get(version + 1, math.inf) <= seen.asked_ms:
                 version += 1
                 first[version] = seen
         for seen in proofs:
--- a/pipitledge/tier/side.py
+++ b/pipitledge/tier/side.py
@@ -518,9 +518,9 @@
         return f"version {version} is not kept here; of the last {KEPT} those that this process has seen are"
 
     def _outcome(self, digest: str) -> str:
-        if digest in self.outcomes:
+        if digest in self.outcomes and self.outcomes[digest][2] not in self.shelf.coming:  # with its name
             return Yes(json.dumps(self._became(digest)))
-        if self.node.wanted.hex() == digest:
+        if self.node.wanted.hex() == digest or digest in self.outcomes:
             return Yes(json.dumps({"result": "under way", "why": ""}))
         return "no such change was proposed here"
 
