Wait until a node can propose in the fleet's tests, as one that is joint takes up nothing

Seen: with two runs of the suite and 8,000 schedules beside each other one test failed. Cause: it proposed at a node that was still joint, and was told so.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,7 +24,8 @@
 
 
 def change(fleet: Fleet, at: str = "n0", names: list[str] | None = None) -> None:
-    """One change that has to be in force at all of these."""
+    """One change that has to be in force at all of these; a node that is still joint takes up none."""
+    fleet.until(lambda: fleet.stands(at)[1] == "in force" and fleet.admits(at), f"{at} can propose")
     assert fleet.outcome(at, fleet.propose(at))[0] == "in force"
     fleet.in_force_everywhere(fleet.version + 1, names)
     fleet.version += 1
