Print on until each forced fault has been met, as sockets decide who draws which

Seen: on a clean clone one of eight faults had not come in 180 jobs, and the test failed. Cause: which request draws which fault hangs on the order on real sockets. Change: rounds of 60 jobs go on, up to 12, until each has been met.

--- a/tests/test_ipp_sockets.py
+++ b/tests/test_ipp_sockets.py
@@ -162,17 +162,20 @@
 def test_forced_disconnects_never_print_twice_and_each_job_ends_once() -> None:
     rates = {fault: 0.05 for fault in (Fault.BREAK_BEFORE, Fault.BREAK_AFTER, Fault.BREAK_AMID, Fault.SILENT)}
     shop = Shop(printers=6, rates=rates, print_ms=5.0, patience_ms=2_500.0)
-    for _ in range(3):
+    met, rounds = Counter[str](), 0
+    # Which request draws which fault hangs on the order on the sockets: go on until each has been met.
+    while rounds < 3 or (rounds < 12 and not all(
+            met[f"{op} {fault.value}"] for op in ("CREATE_JOB", "SEND_DOCUMENT") for fault in rates)):
         shop.parallel(60, document=[b"l" * 700, b"m" * 700])
+        met, rounds = sum((one.met for one in shop.printers), Counter[str]()), rounds + 1
     shop.settle()
-    assert len(shop.jobs.records) == 180 and all(count == 1 for count in shop.ledger.values())
+    assert len(shop.jobs.records) == 60 * rounds and all(count == 1 for count in shop.ledger.values())
     for record in shop.jobs.records.values():
         printed = shop.ledger[str(record.id)]
         if record.state is JobState.COMPLETED:
             assert printed == 1
         elif record.reason != MAY_HAVE_PRINTED:
             assert printed == 0, record
-    met = sum((one.met for one in shop.printers), Counter[str]())
     assert all(met[f"{op} {fault.value}"] for op in ("CREATE_JOB", "SEND_DOCUMENT") for fault in rates)
     done = Counter(record.state for record in shop.jobs.records.values())
     assert done[JobState.COMPLETED] > 40
