--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -39,7 +39,7 @@
 @pytest.mark.parametrize("seed", range(200, 212))
 def test_a_schedule_of_faults_breaks_no_rule(tmp_path: pathlib.Path, seed: int) -> None:
     report = play(drawn(seed), tmp_path)
-    assert report.violations == [] and report.armed == 2
+    assert report.violations == [] and report.fired >= 1  # a fault did come
 
 
 @pytest.mark.parametrize("count, datagrams", [(1, False), (2, True), (5, False), (9, False)])
