--- a/pipitledge/http1/objects.py
+++ b/pipitledge/http1/objects.py
@@ -5,10 +5,12 @@
 
     states            leaves by
     between objects   a '{' -> in an object
-    in an object      the bracket that closes its first one -> between objects
+    in an object      the bracket that closes its first one -> between objects; the end of what came -> cut string, if
+                      amid one
+    in a cut string   its closing quote -> in an object
 
 Always true: what is kept is the open object from its first byte on, and at most `most` bytes of it once all that came
-has been looked at; `_at` is at or before the first byte that has not been looked at, and never inside a string.
+has been looked at. No byte is looked at twice but a backslash at the very end and a string cut within one read.
 """
 
 from __future__ import annotations
@@ -20,7 +22,8 @@
 
 # A whole string at once, as brackets in it mean nothing; a bracket; the quote of a string that has not come whole; and
 # what no JSON has outside strings. Numbers, words, commas and blanks are passed over: json looks at those.
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[{}\[\]"]|[^][{}" \t\r\n:,0-9.E+\-truefalsn]', re.DOTALL)
+_TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[{}\[\]"]|[^][{}" \t\r\n:,0-9.E+\-truefalsn]', re.DOTALL)
+_STRING = re.compile(rb'[^"\\]*+(?:\\.[^"\\]*+)*+', re.DOTALL)  # up to its quote, or to what has come
 _BLANK = re.compile(rb"[ \t\r\n]*")
 _CHANGES = {b"{": 1, b"[": 1, b"}": -1, b"]": -1}
 
@@ -31,7 +34,7 @@
     def __init__(self, most: int) -> None:
         """Take objects of up to so many bytes."""
         self.most = most
-        self._text, self._at, self._depth = b"", 0, 0
+        self._text, self._at, self._depth, self._in_string = b"", 0, 0, False
 
     def receive(self, data: bytes) -> Iterator[dict[str, Any] | None]:
         """Take what has come: each object that is whole now, and None where a line ended between two.
@@ -75,15 +78,22 @@
 
     def _look(self) -> int:
         """Look for the end of the open object; 0 if it has not come."""
+        if self._in_string:
+            string = _STRING.match(self._text, self._at)
+            assert string is not None
+            self._at = string.end()
+            if self._text[self._at:self._at + 1] != b'"':
+                return 0
+            self._at, self._in_string = self._at + 1, False
         for token in _TOKEN.finditer(self._text, self._at):
             if (change := _CHANGES.get(token.group())) is not None:
                 self._depth += change
                 if not self._depth:
                     return token.end()
-            elif token.end() - token.start() == 1:  # a string that is cut: it is looked at again from its quote
+            elif token.end() - token.start() == 1:
                 if token.group() != b'"':
                     raise ValueError(f"not JSON: {token.group()!r}")
-                self._at = token.start()
-                return 0
+                self._at, self._in_string = token.end(), True
+                return self._look()
         self._at = len(self._text)
         return 0
--- a/tests/test_believes.py
+++ b/tests/test_believes.py
@@ -258,5 +258,5 @@
     for send in sent:  # they had to wait for the slots that others hold
         driver.tell(api.AttemptNote(send.job, 0, send.worker))
     driver.tick()
-    beyond = sum(job.attempts[0].spilled for job in driver.policy.jobs.values())
+    beyond = sum(attempt.spilled for _, _, attempt in driver.policy.jobs.out())
     assert beyond and (driver.policy.spill == SPILL_START - 0.5 * beyond) == tells
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
+import json
 import socket
 import struct
 from collections.abc import Callable, Iterator
 
 import pytest
-from net_helper import END, HEAD, Wires, chunk, line, read
+from net_helper import END, HEAD, Stand, Wires, chunk, line, read
 
 from pipitledge.interface import AttemptEnded, JobArrived, JobClass, Plan, Repeat, Result, Send, Settings
 from pipitledge.node.dispatch import Served
 from pipitledge.node.front import BUFFER
 from pipitledge.node.server_link import TAIL_MS
+from pipitledge.node.upkeep import ASKED_SILENT_MS
 from pipitledge.policy import Policy
 
 LEAVINGS = 200  # of each state
@@ -296,6 +299,105 @@
     worker.send(HEAD)
     wires.until(lambda: wires.link().heard_ms == wires.time)
     wires.time += 999.0
-    worker.send(line("running", share=0.5))
-    wires.until(lambda: results(wires))
+    wires.until(lambda: results(wires) or not worker.send(line("running", share=0.5)))  # some in every round
     assert results(wires) == [Result.TIMEOUT] and not wires.pool.links
+
+
+# ---- the list
+
+
+INDENTED = {"rev": 7, "all": False, "note": 'a } and a "quote" \\', "targets": []}
+
+
+@pytest.fixture
+def watching(wires: Wires) -> tuple[Wires, Stand, socket.socket]:
+    """A node with a watch whose head has come, and the agent's end of it."""
+    agent = Stand(wires)
+    wires.group.discovery = agent.address
+    wires.group.watch()
+    watch = agent.accept()
+    got = bytearray()
+    wires.until(lambda: got.extend(read(watch) or b"") or got.endswith(b"\r\n\r\n"))
+    watch.send(HEAD)
+    return wires, agent, watch
+
+
+def ended(wires: Wires) -> str:
+    """How the one watch that has ended did."""
+    [name] = [name for name in wires.counters.counts if name.startswith("watch.")]
+    return name
+
+
+def test_an_indented_list_is_read_a_byte_at_a_time_and_two_objects_in_one_line(
+        watching: tuple[Wires, Stand, socket.socket]) -> None:
+    """Each line was read for an object: the first one ended the watch."""
+    wires, _, watch = watching
+    rows = [wires.row(f"w{number}", wires.worker(f"w{number}")) for number in range(3)]
+    for byte in json.dumps(INDENTED | {"rev": 8, "targets": rows[:1]}, indent=2).encode():
+        watch.send(chunk(bytes([byte])))
+        wires.scheduler.turn(0.0)
+    wires.until(lambda: wires.group.version == 8)  # with its last bracket: no line end has come
+    one, two = (json.dumps(INDENTED | {"rev": rev, "targets": [rows[rev - 8]]}).encode() for rev in (9, 10))
+    watch.send(chunk(b"\r\n" + one + two[:40]))
+    wires.until(lambda: wires.group.version == 9)
+    watch.send(chunk(two[40:] + b"\n\n"))
+    wires.until(lambda: wires.group.version == 10)
+    assert wires.group.addresses.keys() == {"w0", "w1", "w2"} and wires.group._watching is not None
+
+
+@pytest.mark.parametrize("dribble", [b'{"rev":9,', b" ", b'"', b"[[[["])
+def test_a_watch_that_dribbles_is_as_dead_as_one_that_is_silent(
+        watching: tuple[Wires, Stand, socket.socket], dribble: bytes) -> None:
+    """Half a line now and then put its silence off for good; what it missed counted as told after 6 s."""
+    wires, _, watch = watching
+    watch.send(chunk(b'{"rev":8,"targets":[]}\n') + (chunk(b'{"targets":') if dribble in (b'"', b"[[[[") else b""))
+    wires.until(lambda: wires.group.version == 8)
+    began = wires.time
+    while wires.group._watching is not None:
+        assert wires.time - began < ASKED_SILENT_MS
+        wires.time += 500.0
+        watch.send(chunk(dribble if wires.time - began < 600.0 or dribble != b'{"rev":9,' else b"1"))
+        wires.settle()
+    assert ended(wires) == "watch.watch-silent" and wires.time - began == ASKED_SILENT_MS
+
+
+@pytest.mark.parametrize("said", [
+    b"x", b"[1]\n", b'{"rev":9,"targets":[}]}\n', b'{"rev":9,"targets":{}}\n', b'{"a":"' + b"endless" * 700_000])
+def test_a_list_that_is_broken_or_endless_ends_its_watch_alone_and_the_last_good_one_holds(
+        watching: tuple[Wires, Stand, socket.socket], said: bytes) -> None:
+    wires, _, watch = watching
+    good = json.dumps({"rev": 8, "all": True, "targets": [wires.row("w0", wires.worker("w0"))]}).encode()
+    data = chunk(good + b"\n") + chunk(said)
+    while data and wires.group._watching is not None:
+        with contextlib.suppress(BlockingIOError):
+            data = data[watch.send(data):]
+        wires.scheduler.turn(0.0)
+    wires.until(lambda: wires.group._watching is None)
+    assert ended(wires) == "watch.watch-broken" and wires.group.version == 8 and wires.group.addresses.keys() == {"w0"}
+    assert [event for event, _ in wires.logged].count("bad-list") == 1
+
+
+@pytest.mark.parametrize("at", ["dialling", "reading", "amid an object"])
+def test_a_move_of_discovery_crosses_each_step_of_a_watch(wires: Wires, at: str) -> None:
+    old, new = Stand(wires), Stand(wires)
+    if at == "dialling":
+        old.hold_back()
+    wires.group.discovery = old.address
+    wires.group.watch()
+    if at == "dialling":
+        for _ in range(3):
+            wires.scheduler.turn(0.0)
+    else:
+        watch = old.accept()
+        wires.until(lambda: read(watch))
+        watch.send(HEAD + (chunk(b'{"rev":9,"all":true,"targets":[') if at == "amid an object" else b""))
+        wires.scheduler.turn(1.0)
+    wires.group.move(new.address)
+    if at == "amid an object":
+        watch.send(chunk(b"]}\n"))  # whole, and read from the address that counts no more
+    now = new.accept()
+    got = bytearray()
+    wires.until(lambda: got.extend(read(now) or b"") or got.endswith(b"\r\n\r\n"))
+    assert b"since" not in got and ended(wires) == "watch.watch-replaced" and wires.group.version is None
+    now.send(HEAD + chunk(b'{"rev":1,"all":true,"targets":[]}'))
+    wires.until(lambda: wires.group.version == 1)
