Test the end of a node that stops, effects that change under a job, and drains with plans

On a process: a job taken before SIGTERM with a patience of 60 s, its worker hung, is answered 0.2 s before SIGKILL may come; a second SIGTERM is no news. In the rig: SIGKILL's time by the named classes, and a client that does not take its answer. In the module: of a class's old and new effect the stricter binds, held or out; what a drain takes back is placed anew whatever a plan says.

--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -584,3 +584,32 @@
     rig.query("a")
     rig.settle()
     assert [type(answer).__name__ for answer in rig.answers["a"]] == ["Throttle"]
+
+
+@pytest.mark.parametrize("deadlines, named, killed_ms", [
+    ((5_000.0, 300.0), (b"slot-book",), 1_000.0), ((300.0, 5_000.0), (b"slot-book",), 3_700.0),
+    ((300.0, 800.0), (b"menu-plan", b"slot-book"), 1_500.0)])
+def test_sigkill_is_reckoned_from_the_classes_that_are_named_when_sigterm_comes(
+        rig: Rig, deadlines: tuple[float, float], named: tuple[bytes, ...], killed_ms: float) -> None:
+    """A class that had vanished at SIGHUP still counted: with its deadline the node served on until it was killed."""
+    front, _, _ = listening(rig, 0)
+    front.settings = replace(SETTINGS, classes=tuple(api.JobClass(deadline_ms=ms) for ms in deadlines))
+    front.names = replace(NAMES, classes={name: NAMES.classes[name] for name in named})
+    front.accepting = rig.scheduler.spawn(front._accept)
+    front.stop()
+    assert front.duty.end_by_ms < front.duty.gone_by_ms < rig.time + killed_ms == front.duty.end_by_ms + 200.0
+
+
+def test_a_client_that_does_not_take_its_answer_does_not_hold_up_the_end(rig: Rig) -> None:
+    front, _, fars = listening(rig, 1)
+    assert front._accept_all()
+    fars[0].send(request("a"))
+    rig.settle()
+    front.accepting = rig.scheduler.spawn(front._accept)
+    front.stop()
+    rig.dispatch._answer(rig.dispatch.queries["a"], Served(bytes(8 << 20)))
+    rig.settle()
+    rig.settle(front.duty.gone_by_ms - rig.time - 1.0)
+    assert not front.stopped and front.links
+    rig.settle(2.0)
+    assert front.stopped
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,7 +8,7 @@
 import socket
 
 import pytest
-from node_helper import READY, Node, free_port, told
+from node_helper import READY, Node, free_port, job, told
 
 from pipitledge.node import config
 from pipitledge.node.budget import BASE, bodies, budget
@@ -101,3 +101,20 @@
         node.signal(signal.SIGTERM)
         rest = node.rest()
         assert node.process.wait() == 0 and "printing stopping=True open=0" in rest and "stopped open=0" in rest
+
+
+def test_what_came_before_sigterm_with_a_longer_patience_is_answered_before_sigkill(tmp_path: pathlib.Path) -> None:
+    """Jobs of 0.3 s, so that SIGKILL may come after 1 s; this client has 60 s, and its worker hangs just then."""
+    with socket.create_server(("127.0.0.1", 0)) as worker:
+        row = {"uid": "w0", "endpoint": f"127.0.0.1:{worker.getsockname()[1]}", "az": "aarhus-1",
+               "model": "fast-4", "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
+        with Node(tmp_path, known={"rev": 1, "all": True, "targets": [row]}) as node, node.client() as client:
+            client.sendall(job("a").replace(b"Host: x\r\n", b"Host: x\r\nRequest-Timeout-Ms: 60000\r\n"))
+            link, _ = worker.accept()
+            with link:
+                assert b"Request-Id: a\r\n" in link.recv(4_096)
+                node.signal(signal.SIGTERM)
+                node.signal(signal.SIGTERM)  # a second one is no news
+                answer = client.recv(4_096)
+                assert answer.startswith(b"HTTP/1.1 502") and answer.endswith(b"stopping")
+                assert node.process.wait(10) == 0 and '"query.cut-short":1' in node.rest()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -17,17 +17,21 @@
     JobArrived,
     JobClass,
     Listing,
+    Plan,
     Probe,
     Refuse,
+    Repeat,
     Result,
     Scope,
     Send,
     SetTimer,
     Settings,
+    SettingsChanged,
     State,
     Subscribe,
     Tenant,
     TimerFired,
+    Withdraw,
     Worker,
     WorkersChanged,
 )
@@ -647,3 +651,43 @@
     driver, silent = driver_of(True)
     driver.tell(AttemptNote("silent", 0, silent.worker))  # late, but it lives
     assert not of(driver.tell(TimerFired(0), after_ms=300.0), Cancel)
+
+
+# ---- settings and lists that change under a job
+
+
+@pytest.mark.parametrize("before, after, binds", [
+    (SAFE, UNSAFE, Repeat.UNSAFE), (UNSAFE, SAFE, Repeat.UNSAFE), (SAFE, keyed(Scope.ALL), Repeat.UNSAFE),
+    (keyed(Scope.ALL), SAFE, Repeat.KEYED), (keyed(Scope.ALL), UNSAFE, Repeat.UNSAFE), (SAFE, SAFE, Repeat.SAFE)])
+@pytest.mark.parametrize("state", ["held", "out"])
+def test_of_a_classs_old_and_new_effect_the_stricter_binds_a_job_under_way(
+        before: JobClass, after: JobClass, binds: Repeat, state: str) -> None:
+    """One that came as safe was sent again after its class had become one that must not run twice."""
+    driver = Driver(settings(classes=(before,)), workers=0 if state == "held" else 4)
+    driver.job("a")
+    driver.tell(SettingsChanged(settings(classes=(after,))))
+    if state == "held":
+        driver.list([Worker(f"w{index}") for index in range(4)])
+    [send] = of(driver.did, Send)
+    assert driver.policy.jobs["a"].cls.repeat is binds
+    did = driver.end(send, Result.RESET)
+    assert bool(of(did, Send)) == (binds is not Repeat.UNSAFE)
+    assert bool(of(did, Fail)) == (binds is Repeat.UNSAFE)
+
+
+def test_of_two_keyed_groups_the_narrower_and_of_two_windows_the_shorter_binds() -> None:
+    one, two = keyed(Scope.ALL, 900.0), keyed(Scope.CELL, 2_000.0)
+    for first, second in ((one, two), (two, one)):
+        bound = first.bound_by(second)
+        assert (bound.scope, bound.window_ms) == (Scope.CELL, 900.0)
+
+
+@pytest.mark.parametrize("retry_on", [frozenset(Result), frozenset({Result.RESET})])
+def test_a_drain_takes_back_what_has_not_gone_out_and_places_it_anew(retry_on: frozenset[Result]) -> None:
+    """Whatever a plan says of outcomes: an attempt that we took back is none of them."""
+    driver = Driver(workers=2)
+    [send] = of(driver.job("a", job_class=1, plan=Plan(retry_on=retry_on)), Send)
+    did = driver.list([Worker(send.worker, State.DRAINING)], Listing.DELTA)
+    assert of(did, Withdraw) == [Withdraw("a", 0)]
+    [again] = of(driver.end(send, Result.MOOT), Send)
+    assert again.worker != send.worker
