Take no request whose client left before it was read, and move examples out of deploy/

Seen, on real sockets (tests/test_crossings.py, 200 leavings each by close and by reset): a request that lay unread in the system, as its client was not accepted yet or the node had no CPU, was read, taken and sent on ahead of the end that lay behind it; with an idle link to a worker the first byte went out a round before the client's task read the end. However long both had waited, the node saw the leaving last (node/front.py, ClientLink._take). Ruled out: requests taken before the leaving, whose executions are taken back in each state.

Mend: before a query is taken, Stream.has_ended looks whether the client's end has come; one system call a request. Both tests fail without it.

deploy/attempts.conf and printers.conf name one customer's classes and are examples: they lie in docs/examples now.

--- a/pipitledge/net/stream.py
+++ b/pipitledge/net/stream.py
@@ -149,13 +149,20 @@
 
     def is_quiet(self) -> bool:
         """Whether an idle connection is still open and nothing has come on it."""
+        return self._peek() is None and not len(self.buffer)
+
+    def has_ended(self) -> bool:
+        """Whether the other side's end has come and nothing ahead of it is left to read."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """The next byte without taking it, empty at the end, a reset's too; None if there is nothing now."""
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return not len(self.buffer)
+            return None
         except OSError:
-            return False
-        return False
+            return b""
 
     def linger(self, until_ms: float) -> None:
         """Send the end, then drop what still comes: closing on unread bytes would reset the answer away.
--- a/pipitledge/node/front.py
+++ b/pipitledge/node/front.py
@@ -261,6 +261,9 @@
             return self.side.answer(503, b"no room", busy_advice(front.settings), close=True)
         passage = Passage(request.method, request.target, request.get(b"host"), request.get(b"request-id"),
                           request.get(b"idempotency-key"), request.body)
+        if self.stream.has_ended():  # it left while its request waited to be read: nothing is sent on for it
+            front.counters.add("client.left-unread")
+            return None
         self.answer = None
         self.query = front.dispatch.take(arrival, passage, self._reply)
         if self.query is None:
--- a/tests/test_attempts_files.py
+++ b/tests/test_attempts_files.py
@@ -20,7 +20,7 @@
 from pipitledge.interface import UNLIMITED, Result
 
 HERE = pathlib.Path(__file__).parent
-EXAMPLE = (HERE.parent / "deploy" / "attempts.conf").read_text()
+EXAMPLE = (HERE.parent / "docs" / "examples" / "attempts.conf").read_text()
 
 
 def bad_files() -> list[tuple[str, str, bytes, str]]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -132,6 +132,26 @@
     assert wires.counters.counts["client.out-of-turn"] == 2
 
 
+@pytest.mark.parametrize("leaves", [reset, socket.socket.close])
+def test_a_request_is_not_taken_whose_client_left_before_it_was_read(
+        wires: Wires, leaves: Callable[[socket.socket], None]) -> None:
+    """It was read and sent on ahead of the end behind it, however long both had waited in the system."""
+    stand = wires.worker("w0")
+    wires.query("a")
+    worker = stand.accept()
+    stand.request(worker)
+    worker.send(HEAD + line("done") + END)
+    wires.until(lambda: wires.pool.idle.get("w0"))
+    for _ in range(LEAVINGS):
+        far = wires.caller()
+        far.send(b"POST /menu-plan HTTP/1.1\r\nHost: x\r\nRequest-Id: b\r\n\r\n")
+        leaves(far)
+    wires.until(lambda: not wires.front.links)
+    assert not read(worker) and wires.counters.counts["query.taken"] == 1 and not wires.dispatch.queries
+    if leaves is not reset:  # a reset takes what was not read with it
+        assert wires.counters.counts["client.left-unread"] == LEAVINGS
+
+
 # ---- before the first byte
 
 
