--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -135,4 +135,4 @@
     assert "config error=" in started.stdout  # by then all is imported
     ours = [line for line in started.stderr.splitlines() if "pipitledge" in line and line.startswith("# ")]
     assert [line for line in ours if "code object from" in line or " matches " in line]
-    assert not [line for line in ours if "wrote " in line or "code object from" in line and ".pyc" not in line]
+    assert not [line for line in ours if "wrote " in line or ("code object from" in line and ".pyc" not in line)]
