Call a pushed list's agent again within the grace that the settings give a drain

What an agent has when it is back counts as told at once; with a grace of 120 ms a call that it had dropped kept the news away for 280 ms.

Now the two are at most 0.65 and 0.25 of the grace told (as before for 300 ms and more). The test runs with 300 and with 120 ms, steps by 1 ms, and fails for 120 without the mend.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -139,7 +139,7 @@
     clients, links = budget(told.sockets)
     pool = Pool(scheduler, clock, dispatch, counters, log, told.dial_timeout_ms, told.idle_ms, links)
     group = HostGroup(scheduler, clock, dispatch, pool, counters, log, told.discovery, told.names,
-                      not told.settings.must_ask)
+                      not told.settings.must_ask, told.settings.drain_grace_ms)
     dispatch.links, dispatch.watch = pool, group.watch
     scheduler.after_round = dispatch.round
     front = Front(scheduler, clock, dispatch, counters, log, told.names, told.settings, listener, clients,
--- a/pipitledge/interface.py
+++ b/pipitledge/interface.py
@@ -141,6 +141,7 @@
     in_order: bool = False  # workers start jobs in the order in which they come, and tell; attempts can be called off
     resolution_ms: float = 1.0
     ask_every_ms: float = 10_000.0
+    drain_grace_ms: float = 300.0
     cold_share: float = 0.1
     cold_ms: float = 20_000.0
     overload_factor: float = 2.0
@@ -154,7 +155,8 @@
             if getattr(self, name) < 1:
                 raise ValueError(f"{name}: must be at least 1")
         for name in ("cold_share", "cold_ms", "overload_factor", "fall_ms", "resolution_ms", "progress_ms",
-                     "max_retry_after_ms", "over_share_worth", "ask_every_ms", "cross_zone_price", "probe_price"):
+                     "max_retry_after_ms", "over_share_worth", "ask_every_ms", "drain_grace_ms",
+                     "cross_zone_price", "probe_price"):
             if not getattr(self, name) >= 0:
                 raise ValueError(f"{name}: must not be negative")
         if not 0 <= self.number < self.instances:
--- a/pipitledge/node/host_group.py
+++ b/pipitledge/node/host_group.py
@@ -49,8 +49,9 @@
     """The list as this node last had it, and the watch that keeps it up to date."""
 
     def __init__(self, scheduler: Scheduler, clock: Clock, dispatch: Dispatch, pool: Pool, counters: Counters,
-                 log: Log, discovery: Address, names: Names, pushed: bool = False) -> None:
-        """Begin without a list; `start` brings the one known from before. A pushed list is followed from then on."""
+                 log: Log, discovery: Address, names: Names, pushed: bool = False, grace_ms: float = 300.0) -> None:
+        """Begin without a list; `start` brings the one known from before. A pushed list is followed from then on, and
+        within a drain's grace again after each end."""
         self.scheduler, self.clock, self.dispatch, self.pool = scheduler, clock, dispatch, pool
         self.counters, self.log, self.discovery, self.names = counters, log, discovery, names
         self.version: int | None = None
@@ -60,7 +61,7 @@
         self.cold_from: dict[str, float] = {}  # workers back in use: the latest that they can have been restarted
         self._watches = 0  # begun so far; the newest is the one that counts
         self._watching: Task | None = None
-        self.upkeep = Upkeep(pushed, clock.now())
+        self.upkeep = Upkeep(pushed, clock.now(), grace_ms)
 
     def start(self, known: Mapping[str, Any]) -> None:
         """Tell the list that this node held before its start, and see to it that somebody keeps it up."""
@@ -70,9 +71,9 @@
             self.watch()
         self._look_when_stale()
 
-    def adopt(self, names: Names, pushed: bool) -> None:
+    def adopt(self, names: Names, pushed: bool, grace_ms: float) -> None:
         """Read rows by other names from now on; where the list comes another way than before, a watch must run."""
-        self.names = names
+        self.names, self.upkeep.grace_ms = names, grace_ms
         if pushed != self.upkeep.pushed:
             self.upkeep.pushed = pushed
             self.watch()
--- a/pipitledge/node/upkeep.py
+++ b/pipitledge/node/upkeep.py
@@ -20,17 +20,19 @@
 ASKED_DIAL_MS = 1_000.0
 ASKED_SILENT_MS = 3_500.0  # an asked list's watch must be found dead early enough to ask again within that time
 PUSHED_SILENT_MS = 2_400.0  # an agent's news bind from when it had them, and a new call costs nothing
-PUSHED_ANSWER_MS = 200.0  # an agent answers at once; one that was silent may have dropped the calls it got meanwhile
+# An agent answers at once; one that was silent may have dropped the calls it got meanwhile, and what it has then counts
+# as told. So the wait for its answer, and that from an end to the next call, leave a tenth of a drain's grace.
+PUSHED_ANSWER_MS, PUSHED_ANSWER_SHARE = 200.0, 0.65
 STALE_MS = 6_000.0
-AGAIN_MS, AGAIN_MOST_MS = 20.0, 80.0  # between an end and the next call; with the one above less than a drain's grace
+AGAIN_MS, AGAIN_MOST_MS, AGAIN_SHARE = 20.0, 80.0, 0.25
 
 
 class Upkeep:
     """Told of lines, answers and ends, it knows how long to wait, and whether the list is stale."""
 
-    def __init__(self, pushed: bool, now_ms: float) -> None:
-        """Begin with a list that was heard just now."""
-        self.pushed, self.heard_ms, self.stale = pushed, now_ms, False
+    def __init__(self, pushed: bool, now_ms: float, grace_ms: float) -> None:
+        """Begin with a list that was heard just now, and so long a time after news of a drain."""
+        self.pushed, self.heard_ms, self.stale, self.grace_ms = pushed, now_ms, False, grace_ms
         self._ends = 0  # in a row, without an answer between them
 
     def heard(self, now_ms: float) -> float | None:
@@ -46,17 +48,21 @@
     def again_ms(self) -> float:
         """How long to wait from the end of a pushed list's watch to the next one."""
         self._ends += 1
-        return float(min(AGAIN_MOST_MS, AGAIN_MS * 2.0 ** min(self._ends - 1, 8)))
+        most = min(AGAIN_MOST_MS, AGAIN_SHARE * self.grace_ms)
+        return float(min(most, AGAIN_MS * 2.0 ** min(self._ends - 1, 8)))
 
     def dial_ms(self) -> float:
         """How long a connection may take to come up: an agent is on the node's own machine."""
-        return PUSHED_ANSWER_MS if self.pushed else ASKED_DIAL_MS
+        return self._answer_ms() if self.pushed else ASKED_DIAL_MS
+
+    def _answer_ms(self) -> float:
+        return min(PUSHED_ANSWER_MS, PUSHED_ANSWER_SHARE * self.grace_ms)
 
     def silent_ms(self, answered: bool) -> float:
         """After how long without an object or an empty line a watch is dead, before and after its answer's head."""
         if not self.pushed:
             return ASKED_SILENT_MS
-        return PUSHED_SILENT_MS if answered else PUSHED_ANSWER_MS
+        return PUSHED_SILENT_MS if answered else self._answer_ms()
 
     def falls_stale(self, now_ms: float) -> bool:
         """Whether the list is stale from now on; true once."""
--- a/pipitledge/settings.py
+++ b/pipitledge/settings.py
@@ -125,6 +125,7 @@
         in_order=family.get("queue_order") == "fifo" and bool(family.get("tells_start") and allow.get("cancel")),
         resolution_ms=raw.get("resolution_ms", 1.0),
         ask_every_ms=rules.get("ask_every_ms", 10_000.0),
+        drain_grace_ms=rules.get("drain_grace_ms", 300.0),
         cold_share=rules.get("cold_share", 0.1),
         cold_ms=rules.get("cold_ms", 20_000.0),
         overload_factor=rules.get("overload_factor", 2.0),
--- a/tests/test_host_group.py
+++ b/tests/test_host_group.py
@@ -13,7 +13,7 @@
 
 from pipitledge.interface import Listing, Send, State, Worker, WorkersChanged
 from pipitledge.node.host_group import BadRow, read_row
-from pipitledge.node.upkeep import AGAIN_MOST_MS, PUSHED_ANSWER_MS, PUSHED_SILENT_MS, STALE_MS
+from pipitledge.node.upkeep import AGAIN_MOST_MS, PUSHED_SILENT_MS, STALE_MS
 from pipitledge.node.upkeep import ASKED_SILENT_MS as SILENT_MS
 
 ROW = {"uid": "s-1", "endpoint": "127.1.0.1:8443", "az": "aarhus-1", "model": "slow-5", "pod_group": 3,
@@ -247,13 +247,13 @@
 
 # ---- a list that is pushed
 
-GRACE_MS = 300.0  # the shortest that a deployment gives after news of a drain
+GRACES_MS = (300.0, 120.0)  # of a deployment seen, and a shorter one
 
 
-@pytest.fixture
-def pushed(rig: Rig) -> Rig:
+@pytest.fixture(params=GRACES_MS)
+def pushed(rig: Rig, request: pytest.FixtureRequest) -> Rig:
     """A node whose list is pushed, with the list it knew before its start."""
-    rig.group.upkeep.pushed = True
+    rig.group.upkeep.pushed, rig.group.upkeep.grace_ms = True, request.param
     rig.group.start({"rev": 7, "all": True, "targets": [ROW]})
     rig.settle()
     return rig
@@ -284,10 +284,15 @@
             pushed.settle(PUSHED_SILENT_MS)
             pushed.settle(AGAIN_MOST_MS)
     pushed.settle()
-    dialled = len(pushed.dialled)
-    pushed.settle(PUSHED_SILENT_MS if end == "silent" else PUSHED_ANSWER_MS)
-    pushed.settle(AGAIN_MOST_MS)
-    assert PUSHED_ANSWER_MS + AGAIN_MOST_MS < GRACE_MS and len(pushed.dialled) > dialled
+    dialled, grace_ms = len(pushed.dialled), pushed.group.upkeep.grace_ms
+    if end == "silent":
+        pushed.settle(PUSHED_SILENT_MS)
+        pushed.settle(AGAIN_MOST_MS)
+    else:  # whenever the agent is back: the call that it has dropped ends, and the next one comes, within the grace
+        for _ in range(int(0.95 * grace_ms)):
+            if len(pushed.dialled) == dialled:
+                pushed.settle(1.0)
+    assert len(pushed.dialled) > dialled
     request = read(pushed.dialled[-1]) or b""
     assert (b"since=7" if end in ("refused", "silent from the start") else b"since=8") in request
     pushed.dialled[-1].send(HEAD + said(9, False, ROW | {"state": "terminated"}))
@@ -351,10 +356,10 @@
     rig.group.start({"rev": 7, "all": True, "targets": [ROW]})
     rig.settle(1_000.0)
     assert not rig.dialled
-    rig.group.adopt(NAMES, True)
+    rig.group.adopt(NAMES, True, 300.0)
     rig.settle()
     assert len(rig.dialled) == 1
-    rig.group.adopt(NAMES, False)
+    rig.group.adopt(NAMES, False, 300.0)
     rig.dialled[0].close()
     rig.settle()
     assert rig.script.of(WorkersChanged)[-1].listing is Listing.FAILED
