Force the crossings of a stop and of an upgrade on processes: what is taken is answered

Mutants tried: no take_back and no look for the listener fail; a claim without its retry after a reset does not, as the next branch catches it. - Lists: a head that never ends is dead after the time for a first answer, asked and pushed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from pipitledge.node.dispatch import Served
 from pipitledge.node.front import BUFFER
 from pipitledge.node.server_link import TAIL_MS
-from pipitledge.node.upkeep import ASKED_SILENT_MS
+from pipitledge.node.upkeep import ASKED_SILENT_MS, PUSHED_ANSWER_MS
 from pipitledge.policy import Policy
 
 LEAVINGS = 200  # of each state
@@ -381,6 +381,23 @@
     assert ended(wires) == "watch.watch-silent" and wires.time - began == ASKED_SILENT_MS
 
 
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_whose_head_never_ends_is_dead_after_the_time_for_its_first_answer(wires: Wires, pushed: bool) -> None:
+    agent = Stand(wires)
+    wires.group.discovery, wires.group.upkeep.pushed = agent.address, pushed
+    wires.group.watch()
+    watch = agent.accept()
+    wires.until(lambda: read(watch))
+    watch.send(b"HTTP/1.1 200 OK\r\n")
+    began, most = wires.time, PUSHED_ANSWER_MS if pushed else ASKED_SILENT_MS
+    while wires.group._watching is not None:
+        assert wires.time - began < most
+        wires.time += most / 5.0
+        watch.send(b"X-More: y\r\n")
+        wires.settle()
+    assert ended(wires) == "watch.watch-silent" and round(wires.time - began, 6) == most
+
+
 @pytest.mark.parametrize("said", [
     b"x", b"[1]\n", b'{"rev":9,"targets":[}]}\n', b'{"rev":9,"targets":{}}\n', b'{"a":"' + b"endless" * 700_000])
 def test_a_list_that_is_broken_or_endless_ends_its_watch_alone_and_the_last_good_one_holds(
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import pathlib
+import select
 import shutil
 import signal
 import socket
@@ -12,7 +14,8 @@
 import tomllib
 
 import pytest
-from node_helper import READY, ROOT, Node, free_port, job, told
+from net_helper import END, HEAD, line
+from node_helper import READY, ROOT, STATED, Node, free_port, job, told
 
 from pipitledge.node import config
 from pipitledge.node.budget import BASE, bodies, budget
@@ -136,3 +139,60 @@
     ours = [line for line in started.stderr.splitlines() if "pipitledge" in line and line.startswith("# ")]
     assert [line for line in ours if "code object from" in line or " matches " in line]
     assert not [line for line in ours if "wrote " in line or ("code object from" in line and ".pyc" not in line)]
+
+
+@pytest.mark.parametrize("before", ["nothing", "lame duck", "longer deadlines", "shorter deadlines"])
+def test_all_that_a_node_takes_up_to_its_end_is_answered_though_clients_come_again_at_once(
+        tmp_path: pathlib.Path, before: str) -> None:
+    """SIGTERM amid requests on each connection, every second job hung; each answer brings the next request."""
+    def lanes(deadline_ms: float) -> dict[str, object]:
+        return STATED | {"lanes": [STATED["lanes"][0] | {"deadline_ms": deadline_ms, "objective_ms": deadline_ms}]}
+
+    with socket.create_server(("127.0.0.1", 0)) as worker, contextlib.ExitStack() as opened:
+        row = {"uid": "w0", "endpoint": f"127.0.0.1:{worker.getsockname()[1]}", "az": "aarhus-1",
+               "model": "fast-4", "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
+        node = opened.enter_context(Node(tmp_path, settings=lanes(600.0), known={
+            "rev": 1, "all": True, "targets": [row]}))
+        clients = [opened.enter_context(node.client()) for _ in range(12)]
+        links, asked, answered, told = list[socket.socket](), 0, 0, False
+
+        def ask(client: socket.socket) -> None:
+            nonlocal asked
+            asked += 1
+            patience = b"Host: x\r\nRequest-Timeout-Ms: 60000\r\n" if asked % 3 else b"Host: x\r\n"
+            client.sendall(job(f"q{asked}").replace(b"Host: x\r\n", patience))
+
+        for client in clients:
+            ask(client)
+        while clients:
+            if answered >= 30 and not told:
+                told = True
+                if before == "lame duck":
+                    assert node.call("LAMEDUCK") == "+OK"
+                elif before != "nothing":
+                    node.write(settings=lanes(1_500.0 if before == "longer deadlines" else 300.0))
+                    node.signal(signal.SIGHUP)
+                    node.until("settings=changed")
+                for _ in range(2):
+                    node.signal(signal.SIGTERM)
+            for sock in select.select([worker, *links, *clients], [], [], 10.0)[0]:
+                if sock is worker:
+                    links.append(opened.enter_context(worker.accept()[0]))
+                    continue
+                with contextlib.suppress(ConnectionError):
+                    if not (said := sock.recv(65_536)):
+                        (links if sock in links else clients).remove(sock)
+                    elif sock in clients:
+                        assert said.startswith(b"HTTP/1.1 ") and b"\r\n\r\n" in said
+                        answered += 1
+                        ask(sock)
+                    else:
+                        name = said.split(b"Request-Id: ")[1].split(b"\r\n")[0].decode()
+                        if not told or int(name[1:]) % 2:  # from SIGTERM on every second one hangs
+                            sock.sendall(HEAD + line("done", name, result="x") + END)
+                    continue
+                with contextlib.suppress(ValueError):
+                    clients.remove(sock)  # reset: what it had sent was never read
+        rest = node.rest()
+        assert node.process.wait(10) == 0 and answered >= 30
+        assert json.loads(rest.split("counters=")[-1].splitlines()[0])["query.taken"] == answered
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -9,15 +9,17 @@
 import signal
 import socket
 import tempfile
+import threading
 from collections.abc import Iterator
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from net_helper import DERANDOMISED, END, HEAD, Rig, line
+from net_helper import DERANDOMISED, END, HEAD, Rig, line, read
 from node_helper import READY, STATED, Node, exchange, job
 
 from pipitledge.node.counters import Counters, Log
+from pipitledge.node.dispatch import Served
 from pipitledge.upgrade.handover import PART, BadHandover, Busy, ClaimSide, Estate, What, message, read_message
 from pipitledge.upgrade.succession import Succession, claim
 
@@ -164,6 +166,90 @@
         assert b" 200 " in heir.ready()
 
 
+@pytest.mark.parametrize("step", ["claimed", "first part read", "all read"])
+def test_an_elder_whose_heir_dies_at_any_step_serves_on_and_can_be_upgraded_again(
+        elder: Node, tmp_path: pathlib.Path, step: str) -> None:
+    with elder.client() as idle, elder.client() as busy:
+        assert b" 200 " in exchange(idle, READY)
+        busy.sendall(job("held"))
+        assert b" 409 " in elder_says_in_use(elder)
+        with elder.door() as heir:
+            heir.send(message(What.CLAIM, form=1, pid=1))
+            elder.until("heir=1")
+            while step != "claimed":
+                said, fds, _, _ = socket.recv_fds(heir, 1 << 18, 4)
+                for fd in fds:  # the listener, and clients' connections behind it: they end with this process
+                    os.close(fd)
+                if step == "first part read" or read_message(said)[0] is What.CLIENT:
+                    break
+        elder.until("ended=heir")
+        assert b" 200 " in elder.ready() and b" 409 " in elder_says_in_use(elder)  # what was under way is here still
+        with heir_of(elder, tmp_path) as next_one:
+            assert "claimed=True" in next_one.first
+            elder.signal(signal.SIGTERM)
+            assert busy.recv(4_096).startswith(b"HTTP/1.1 503")  # no worker is there: refused as it ends
+            assert elder.process.wait(10) == 0
+            assert b" 200 " in next_one.ready()
+
+
+def elder_says_in_use(elder: Node) -> bytes:
+    """The answer to a second request of the id that is held; the first has been read by then, as it came before."""
+    with elder.client() as second:
+        return exchange(second, job("held"))
+
+
+@pytest.mark.parametrize("said", [None, [], [b"rubbish"], [*Estate(rev=3, rows=ROWS).messages()],
+                                  [*Estate(rev=3, rows=ROWS).messages(), message(What.YOURS)]])
+def test_an_heir_whose_elder_dies_at_any_step_of_the_claim_starts_from_nothing(said: list[bytes] | None) -> None:
+    """Before it reads the claim, after it, amid its estate, and with the estate told and no listener along."""
+    logged: list[dict[str, object]] = []
+    with tempfile.TemporaryDirectory() as folder, socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as door:
+        door.bind(os.path.join(folder, "pipitledge-127.0.0.1-1.sock"))
+        door.listen()
+
+        def die() -> None:
+            heir, _ = door.accept()
+            door.close()  # nobody else answers, as the process is gone
+            with heir:
+                if said is not None:
+                    assert read_message(heir.recv(1 << 16))[0] is What.CLAIM
+                    for part in said:
+                        heir.send(part)
+
+        elder = threading.Thread(target=die)
+        elder.start()
+        assert claim(folder, ("127.0.0.1", 1), lambda event, **fields: logged.append(fields)) is None  # type: ignore
+        elder.join()
+    assert "refused" in logged[0]
+
+
+@pytest.mark.parametrize("is_read", [False, True])
+def test_a_request_that_comes_as_its_connection_is_passed_on_is_served_once(rig: Rig, is_read: bool) -> None:
+    """What has come and is not read goes along; what has been read is served here, and the connection follows."""
+    passed: list[socket.socket] = []
+    far, _ = rig.client()
+    far.send(READY)
+    rig.settle()
+    assert b" 200 " in (read(far) or b"")
+    half = len(job("a")) // 2
+    far.send(job("a")[:half])
+    if is_read:
+        rig.settle()
+    rig.front.accepting = rig.scheduler.spawn(lambda: None)
+    rig.front.hand_over(lambda sock, used: passed.append(sock.dup()))
+    rig.settle()
+    far.send(job("a")[half:])
+    rig.settle()
+    if is_read:
+        assert not passed
+        rig.dispatch._answer(rig.dispatch.queries["a"], Served(b"cakes"))
+        rig.settle()
+        assert (read(far) or b"").endswith(b"cakes")
+    [heirs] = passed
+    with heirs:
+        assert read(heirs) == (b"" if is_read else job("a")) and rig.counters.counts["query.taken"] == is_read
+
+
 def test_a_third_process_is_refused_while_the_second_takes_over(elder: Node, tmp_path: pathlib.Path) -> None:
     with elder.door() as slow:  # an heir that has claimed and does not go on
         slow.send(message(What.CLAIM, form=1, pid=1))
