Let a printing node's last answers out before it ends

Seen: at end_by_ms a node that prints answered all it held (Dispatch.end_all) and stopped its scheduler in the same round (__main__.take), so that no client's task ran any more: a job taken before SIGTERM, its worker hung, got b''. Ruled out: a node that does not print, which ends once all is written, or at gone_by_ms.

Mend: its scheduler stops at gone_by_ms, 50 ms before SIGKILL may come, as the other's. The test of the longer patience runs with and without a print side, and fails with one without the mend.

--- a/pipitledge/__main__.py
+++ b/pipitledge/__main__.py
@@ -61,7 +61,7 @@
             front.stop()
             if printing is not None:
                 printing.stop()
-                timers.at(front.duty.end_by_ms, scheduler.stop)
+                timers.at(front.duty.gone_by_ms, scheduler.stop)  # what is answered last is out by then
 
     told: config.Config
     printing: PrintSide | None = None
--- a/tests/node_helper.py
+++ b/tests/node_helper.py
@@ -34,6 +34,13 @@
         return int(free.getsockname()[1])
 
 
+def printing(folder: pathlib.Path) -> dict[str, object]:
+    """What a configuration says of a print side, with one printer that nobody plays."""
+    printers = folder / "printers.conf"
+    printers.write_text("printer label\n    uri ipp://127.0.0.1:9/ipp/print\n")
+    return {"printers": str(printers), "ipp_listen": f"127.0.0.1:{free_port()}"}
+
+
 class Node:
     """One process. A node beside another of the same `beside` takes its place."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -15,7 +15,7 @@
 
 import pytest
 from net_helper import END, HEAD, line
-from node_helper import READY, ROOT, STATED, Node, free_port, job, told
+from node_helper import READY, ROOT, STATED, Node, job, printing, told
 
 from pipitledge.node import config
 from pipitledge.node.budget import BASE, bodies, budget
@@ -97,10 +97,8 @@
 
 
 def test_a_node_that_prints_shares_its_descriptors_and_ends_when_both_sides_have(tmp_path: pathlib.Path) -> None:
-    printers = tmp_path / "printers.conf"
-    printers.write_text("printer label\n    uri ipp://127.0.0.1:9/ipp/print\n")
-    with Node(tmp_path, printers=str(printers), ipp_listen=f"127.0.0.1:{free_port()}",
-              limits={"cores": 1.0, "memory_mb": 192, "sockets": 256}) as node, node.client() as client:
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
+    with Node(tmp_path, limits=limits, **printing(tmp_path)) as node, node.client() as client:
         # 65 of 256 are the print side's: 32 clients, as many links, one poll
         assert "clients={} links={}".format(*budget(256 - 65)) in node.first
         client.sendall(READY)
@@ -110,12 +108,15 @@
         assert node.process.wait() == 0 and "printing stopping=True open=0" in rest and "stopped open=0" in rest
 
 
-def test_what_came_before_sigterm_with_a_longer_patience_is_answered_before_sigkill(tmp_path: pathlib.Path) -> None:
+@pytest.mark.parametrize("prints", [False, True])
+def test_what_came_before_sigterm_with_a_longer_patience_is_answered_before_sigkill(
+        tmp_path: pathlib.Path, prints: bool) -> None:
     """Jobs of 0.3 s, so that SIGKILL may come after 1 s; this client has 60 s, and its worker hangs just then."""
     with socket.create_server(("127.0.0.1", 0)) as worker:
         row = {"uid": "w0", "endpoint": f"127.0.0.1:{worker.getsockname()[1]}", "az": "aarhus-1",
                "model": "fast-4", "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
-        with Node(tmp_path, known={"rev": 1, "all": True, "targets": [row]}) as node, node.client() as client:
+        more = printing(tmp_path) if prints else {}
+        with Node(tmp_path, known={"rev": 1, "all": True, "targets": [row]}, **more) as node, node.client() as client:
             client.sendall(job("a").replace(b"Host: x\r\n", b"Host: x\r\nRequest-Timeout-Ms: 60000\r\n"))
             link, _ = worker.accept()
             with link:
