Let room found full elsewhere weigh as much as room found free

In an overload Policy._spilled let what jobs find beyond a node's part settle where two of three had to wait: +1 for one that started at once, -0.5 for one that waited.

Mend: both weigh 1 (policy.py).

--- a/pipitledge/policy.py
+++ b/pipitledge/policy.py
@@ -420,7 +420,7 @@
 
     def _spilled(self, job: JobRecord, attempt: AttemptRecord, had_room: bool) -> None:
         """What others leave free: grows with work taken at once, falls where it was full or had to wait."""
-        change = (1.0 if had_room else -0.5) * job.event.slots * attempt.spilled
+        change = (1.0 if had_room else -1.0) * job.event.slots * attempt.spilled
         self.spill = min(max(0.0, self.spill + change), max(self.slots) * len(self.ring))
 
     def _learn(self, job: JobRecord, attempt: AttemptRecord, result: Result) -> None:
