--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -238,6 +238,16 @@
             self.scheduler.turn(5.0)
         raise AssertionError("it did not come")
 
+    def idle_link(self, stand: Stand, name: str = "a", **fields: Any) -> socket.socket:
+        """The worker's end of a link that has served the query of this name and stands idle."""
+        query = self.query(name, **fields)
+        worker = stand.accept()
+        stand.request(worker)
+        worker.send(HEAD + line("done", name) + END)
+        self.until(lambda: any(self.pool.idle.values()))
+        assert not query.open
+        return worker
+
     def link(self) -> ServerLink:
         """The one server link that has an execution."""
         [link] = [link for link in self.pool.links if link.execution is not None]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -67,12 +67,7 @@
         stand.hold_back()
     decided.told(*[decided.row("w0", stand)] if state != "held" else [], whole=True)
     if state == "handed an idle link":
-        first = decided.query("first")
-        worker = stand.accept()
-        stand.request(worker)
-        worker.send(HEAD + line("done", "first") + END)
-        decided.until(lambda: decided.pool.idle.get("w0"))
-        assert not first.open
+        worker = decided.idle_link(stand, "first")
     for number in range(LEAVINGS):
         plan = Plan(backoff_ms=(100.0, 100.0)) if state == "backing off" else Plan()
         query = decided.query(f"q{number}", plan=plan)
@@ -137,11 +132,7 @@
         wires: Wires, leaves: Callable[[socket.socket], None]) -> None:
     """It was read and sent on ahead of the end behind it, however long both had waited in the system."""
     stand = wires.worker("w0")
-    wires.query("a")
-    worker = stand.accept()
-    stand.request(worker)
-    worker.send(HEAD + line("done") + END)
-    wires.until(lambda: wires.pool.idle.get("w0"))
+    worker = wires.idle_link(stand)
     for _ in range(LEAVINGS):
         far = wires.caller()
         far.send(b"POST /menu-plan HTTP/1.1\r\nHost: x\r\nRequest-Id: b\r\n\r\n")
@@ -176,11 +167,7 @@
     """What has gone out whole stays out: the drain's rule is about what is sent after it was told."""
     old, new = decided.worker("w0"), decided.worker("w1")
     decided.told(decided.row("w0", old), whole=True)
-    decided.query("a", job_class=1)
-    worker = old.accept()
-    old.request(worker)
-    worker.send(HEAD + line("done") + END)
-    decided.until(lambda: decided.pool.idle.get("w0"))
+    worker = decided.idle_link(old, job_class=1)
     decided.query("b", job_class=1)
     decided.scheduler.turn(0.0)
     assert decided.link().execution is not None
@@ -218,11 +205,7 @@
 def test_an_idle_link_spoilt_before_the_first_byte_costs_a_dial_and_no_outcome(wires: Wires, what: str) -> None:
     """The link had been looked at as it was handed over, and was written to a round later."""
     stand = wires.worker("w0")
-    wires.query("a")
-    worker = stand.accept()
-    stand.request(worker)
-    worker.send(HEAD + line("done") + END)
-    wires.until(lambda: wires.pool.idle.get("w0"))
+    worker = wires.idle_link(stand)
     wires.query("b")
     wires.dispatch.round()  # handed over: its task is ready and has not run
     if what == "second answer":
@@ -272,11 +255,7 @@
 def test_a_second_answer_is_never_taken_for_the_next_executions(wires: Wires) -> None:
     """It came some ms after the first, the link by then being another's: its result was served."""
     stand = wires.worker("w0")
-    wires.query("a")
-    worker = stand.accept()
-    stand.request(worker)
-    worker.send(HEAD + line("done", result="a's") + END)
-    wires.until(lambda: wires.pool.idle.get("w0"))
+    worker = wires.idle_link(stand)
     wires.query("b")
     assert b"Request-Id: b\r\n" in stand.request(worker)
     worker.send(HEAD + line("done", result="a's") + END)
