Hold a job in an upgrade's test by a worker that hangs, not by workers that refuse

Seen in the first of twenty runs in a row, beside other work: the job held at the elder was refused at once in one run of two, as its six attempts at an address where nobody listens were over before the last of three workers was set aside.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import json
 import os
@@ -98,35 +99,42 @@
         yield node
 
 
+@contextlib.contextmanager
+def elder_with_a_worker(tmp_path: pathlib.Path) -> Iterator[tuple[Node, socket.socket]]:
+    """A node whose one worker the test plays, and that worker's listener."""
+    with socket.create_server(("127.0.0.1", 0)) as worker:
+        worker.settimeout(10.0)
+        row = ROWS[0] | {"endpoint": f"127.0.0.1:{worker.getsockname()[1]}"}
+        with Node(tmp_path, settings=PATIENT, known={"rev": 3, "all": True, "targets": [row]}) as elder:
+            yield elder, worker
+
+
 def heir_of(elder: Node, tmp_path: pathlib.Path, **changes: object) -> Node:
     return Node(tmp_path, beside=elder, **{"settings": PATIENT, **changes})
 
 
 def test_an_heir_takes_listener_and_idle_connections_and_the_elder_answers_what_it_has(tmp_path: pathlib.Path) -> None:
-    with socket.create_server(("127.0.0.1", 0)) as worker:
-        worker.settimeout(10.0)
-        row = ROWS[0] | {"endpoint": f"127.0.0.1:{worker.getsockname()[1]}"}
-        with Node(tmp_path, settings=PATIENT, known={"rev": 3, "all": True, "targets": [row]}) as elder, \
-                elder.client() as idle, elder.client() as busy, elder.client() as fresh:
-            assert b" 200 " in exchange(idle, READY)
-            busy.sendall(job("held"))
-            link, _ = worker.accept()
-            with link, heir_of(elder, tmp_path) as heir:
-                assert "workers=1" in heir.first and "claimed=True" in heir.first  # the elder's list, not `known`
-                assert heir.call("PING") == elder.call("PING") == "+OK"
-                assert b" 409 " in exchange(fresh, job("held"))  # still the elder's
-                elder.signal(signal.SIGTERM)
-                elder.until("stage=closing")
-                assert b" 200 " in exchange(idle, READY)  # on the connection that the elder accepted
-                assert b" 200 " in heir.ready()
-                link.sendall(HEAD + line("done", "held", result="planned") + END)
-                assert busy.recv(4_096).endswith(b"planned")
-                assert elder.process.wait(10) == 0 and '"client.passed-on":' in elder.rest()
-                assert b" 200 " in exchange(busy, READY)  # passed on after its answer
-                heir.until("ended=elder")
-                busy.sendall(job("held"))  # its id is free again
-                heir_link, _ = worker.accept()
-                heir_link.close()
+    with elder_with_a_worker(tmp_path) as (elder, worker), elder.client() as idle, elder.client() as busy, \
+            elder.client() as fresh:
+        assert b" 200 " in exchange(idle, READY)
+        busy.sendall(job("held"))
+        link, _ = worker.accept()
+        with link, heir_of(elder, tmp_path) as heir:
+            assert "workers=1" in heir.first and "claimed=True" in heir.first  # the elder's list, not `known`
+            assert heir.call("PING") == elder.call("PING") == "+OK"
+            assert b" 409 " in exchange(fresh, job("held"))  # still the elder's
+            elder.signal(signal.SIGTERM)
+            elder.until("stage=closing")
+            assert b" 200 " in exchange(idle, READY)  # on the connection that the elder accepted
+            assert b" 200 " in heir.ready()
+            link.sendall(HEAD + line("done", "held", result="planned") + END)
+            assert busy.recv(4_096).endswith(b"planned")
+            assert elder.process.wait(10) == 0 and '"client.passed-on":' in elder.rest()
+            assert b" 200 " in exchange(busy, READY)  # passed on after its answer
+            heir.until("ended=elder")
+            busy.sendall(job("held"))  # its id is free again
+            heir_link, _ = worker.accept()
+            heir_link.close()
 
 
 def test_calls_at_either_address_hold_in_both_processes_and_over_upgrades(
@@ -168,12 +176,12 @@
 
 @pytest.mark.parametrize("step", ["claimed", "first part read", "all read"])
 def test_an_elder_whose_heir_dies_at_any_step_serves_on_and_can_be_upgraded_again(
-        elder: Node, tmp_path: pathlib.Path, step: str) -> None:
-    with elder.client() as idle, elder.client() as busy:
+        tmp_path: pathlib.Path, step: str) -> None:
+    with elder_with_a_worker(tmp_path) as (elder, worker), elder.client() as idle, elder.client() as busy:
         assert b" 200 " in exchange(idle, READY)
         busy.sendall(job("held"))
-        assert b" 409 " in elder_says_in_use(elder)
-        with elder.door() as heir:
+        link, _ = worker.accept()
+        with link, elder.door() as heir:
             heir.send(message(What.CLAIM, form=1, pid=1))
             elder.until("heir=1")
             while step != "claimed":
@@ -182,20 +190,19 @@
                     os.close(fd)
                 if step == "first part read" or read_message(said)[0] is What.CLIENT:
                     break
-        elder.until("ended=heir")
-        assert b" 200 " in elder.ready() and b" 409 " in elder_says_in_use(elder)  # what was under way is here still
-        with heir_of(elder, tmp_path) as next_one:
-            assert "claimed=True" in next_one.first
-            elder.signal(signal.SIGTERM)
-            assert busy.recv(4_096).startswith(b"HTTP/1.1 503")  # no worker is there: refused as it ends
-            assert elder.process.wait(10) == 0
-            assert b" 200 " in next_one.ready()
-
-
-def elder_says_in_use(elder: Node) -> bytes:
-    """The answer to a second request of the id that is held; the first has been read by then, as it came before."""
-    with elder.client() as second:
-        return exchange(second, job("held"))
+            heir.close()
+            elder.until("ended=heir")
+            assert b" 200 " in elder.ready()
+            with elder.client() as second:
+                assert b" 409 " in exchange(second, job("held"))  # what was under way is here still
+            with heir_of(elder, tmp_path) as next_one:
+                assert "claimed=True" in next_one.first
+                elder.signal(signal.SIGTERM)
+                elder.until("stage=closing")
+                link.sendall(HEAD + line("done", "held", result="planned") + END)
+                assert busy.recv(4_096).endswith(b"planned")
+                assert elder.process.wait(10) == 0
+                assert b" 200 " in next_one.ready()
 
 
 @pytest.mark.parametrize("said", [None, [], [b"rubbish"], [*Estate(rev=3, rows=ROWS).messages()],
