Run what the last round woke before the loop ends, as the last answers are among it

Where the process gets no processor from end_by_ms to gone_by_ms (0.15 s), both timers are due at once: end_all answers all that is open and wakes its clients' tasks, _end stops the loop, and Scheduler.run left before any of them ran. Ruled out: a client's reset, as its request was counted as taken.

Mend: run() makes one more round once it is stopped (net/scheduler.py). Both tests fail without.

--- a/pipitledge/net/scheduler.py
+++ b/pipitledge/net/scheduler.py
@@ -111,10 +111,11 @@
         self._watchers.pop(fd, None)
 
     def run(self) -> None:
-        """Run rounds until stop is called."""
+        """Run rounds until stop is called, and one more: what the last one has woken, an answer say, still goes out."""
         self._running = True
         while self._running:
             self.turn()
+        self.turn()
 
     def turn(self, wait_most_ms: float | None = None) -> None:
         """Run one round: what is ready, what the node decides on it, then a poll up to the next timer."""
@@ -133,7 +134,7 @@
         self._poll_once(wait)
 
     def stop(self) -> None:
-        """Leave run once the present round is over."""
+        """Leave run once the present round is over, and what it has woken has run."""
         self._running = False
 
     def _poll_once(self, wait_ms: float | None) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -133,6 +133,19 @@
     assert {type(crash) for crash in rig.crashes} == {ZeroDivisionError, IndexError}
 
 
+@pytest.mark.parametrize("wakes_first", [True, False])
+def test_what_is_woken_in_the_round_that_ends_the_loop_still_runs(rig: Rig, wakes_first: bool) -> None:
+    """A node that was starved past both times answered all it held and ended in one round: no answer was written."""
+    done = list[Wake]()
+    task = rig.scheduler.spawn(lambda: done.append(rig.scheduler.wait()))
+    calls = [task.wake, rig.scheduler.stop]
+    for call in calls if wakes_first else calls[::-1]:
+        rig.timers.at(rig.time + 5.0, call)
+    rig.timers.at(rig.time, lambda: setattr(rig, "time", rig.time + 10.0))  # both are due at once
+    rig.scheduler.run()
+    assert done == [Wake.NOTICE]
+
+
 def test_signals_keep_both_ends_of_their_pipe(monkeypatch: pytest.MonkeyPatch) -> None:
     """The writing end was once collected: the node spun on the other end and missed every signal."""
     rig, taken = Rig(monkeypatch), list[int]()
