--- a/tests/net_helper.py
+++ b/tests/net_helper.py
@@ -171,7 +171,7 @@
 
     def accept(self) -> socket.socket:
         """The next connection of the node, which has come up whether or not it is accepted."""
-        self.wires.until(lambda: select.select([self.listener], [], [], 0.0)[0])
+        self.wires.until(lambda: readable([self.listener], 0.0))
         sock, _ = self.listener.accept()
         sock.setblocking(False)
         self.links.append(sock)
@@ -191,7 +191,7 @@
 
     def waiting(self) -> list[socket.socket]:
         """Connections that have come up and were not accepted yet."""
-        while select.select([self.listener], [], [], 0.0)[0]:
+        while readable([self.listener], 0.0):
             self.accept()
         return self.links
 
@@ -264,6 +264,14 @@
         return far
 
 
+def readable(socks: Sequence[socket.socket], wait_ms: float) -> list[socket.socket]:
+    """Those that have something to read. By poll: a process that has run other tests has descriptors over 1,023."""
+    poll, known = select.poll(), {sock.fileno(): sock for sock in socks}
+    for number in known:
+        poll.register(number, select.POLLIN)
+    return [known[number] for number, _ in poll.poll(wait_ms)]
+
+
 def read(sock: socket.socket) -> bytes | None:
     """What has come; None if the other side closed and nothing is left."""
     try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,7 +5,6 @@
 import contextlib
 import json
 import pathlib
-import select
 import shutil
 import signal
 import socket
@@ -14,7 +13,7 @@
 import tomllib
 
 import pytest
-from net_helper import END, HEAD, line
+from net_helper import END, HEAD, line, readable
 from node_helper import READY, ROOT, STATED, Node, job, printing, told
 
 from pipitledge.node import config
@@ -176,7 +175,7 @@
                     node.until("settings=changed")
                 for _ in range(2):
                     node.signal(signal.SIGTERM)
-            for sock in select.select([worker, *links, *clients], [], [], 10.0)[0]:
+            for sock in readable([worker, *links, *clients], 10_000.0):
                 if sock is worker:
                     links.append(opened.enter_context(worker.accept()[0]))
                     continue
