Count answers only for the member, the call and the term that they are for

Cause: votes, entries held and recovered promises were booked under the name that was asked, whoever answered. Where another machine had that address by then, one vote counted twice and two members of the in-sync set were one disk. An answer to a heartbeat of an earlier term renewed the lease if its time fitted: two primaries at once. Change: Promise, Accepted, EpochReply and AppendReply have to name the member that was asked; a heartbeat's answer has to carry an epoch of this term.

--- a/pipitledge/replication/amnesia.py
+++ b/pipitledge/replication/amnesia.py
@@ -54,7 +54,9 @@
         self._env.network.call(address, request, PROPOSAL_SECONDS, lambda reply: self._on_reply(name, number, reply))
 
     def _on_reply(self, name: str, number: int, reply: Struct | None) -> None:
-        if number != self._round or not isinstance(reply, EpochReply) or reply.amnesiac or not self._witness.amnesiac:
+        if number != self._round or not isinstance(reply, EpochReply) or not self._witness.amnesiac:
+            return
+        if reply.amnesiac or reply.name != name:  # or the address belongs to another machine by now
             return
         self._replies[name] = reply
         self._note(reply.accepted)
--- a/pipitledge/replication/primary.py
+++ b/pipitledge/replication/primary.py
@@ -343,14 +343,14 @@
             return
         if message.epoch > self._view.epoch:
             self.saw_epoch(message.epoch)
-        elif not message.amnesiac and self._sent_in_office(message.sent_at):
+        elif not message.amnesiac and self._sent_in_office(message):
             self._lease.answered(message.name, message.sent_at)
             self._act()
         stream.on_heartbeat_reply(message)
 
-    def _sent_in_office(self, sent_at: float) -> bool:
-        """Whether that is the time of a heartbeat of this term, and not one of an earlier life on another clock."""
-        return self._started_at <= sent_at <= self._env.clock.now()
+    def _sent_in_office(self, reply: HeartbeatReply) -> bool:
+        """Whether the heartbeat answered is one of this term, and not of an earlier life, maybe on another clock."""
+        return reply.epoch >= self._view.term and self._started_at <= reply.sent_at <= self._env.clock.now()
 
     def saw_epoch(self, epoch: int) -> None:
         """A node promised a higher epoch: unless another primary shows up, this one renews its view above it."""
--- a/pipitledge/replication/proposal.py
+++ b/pipitledge/replication/proposal.py
@@ -29,7 +29,9 @@
 class Proposal:
     """Asks the voters of `start`, and those of any later view that they tell of.
 
-    Everything counts only within `PROPOSAL_SECONDS`: a member that lost its disk relies on that.
+    Everything counts only within `PROPOSAL_SECONDS`: a member that lost its disk relies on that. An answer counts
+    only if it names the member that was asked: its address may belong to another machine by now, and no vote of that
+    machine may count twice.
     """
 
     def __init__(
@@ -105,7 +107,7 @@
         if self._over():
             return
         self._answered.add(name)
-        if isinstance(message, Promise):
+        if isinstance(message, Promise) and message.name == name:
             self._note(message)
             if message.granted:
                 self._promises[name] = message
@@ -195,7 +197,7 @@
                 self._env.network.call(address, request, PROPOSAL_SECONDS, partial(self._on_accepted, member.name))
 
     def _on_accepted(self, name: str, message: Struct | None) -> None:
-        if self._over() or self._view is None or not isinstance(message, Accepted):
+        if self._over() or self._view is None or not isinstance(message, Accepted) or message.name != name:
             return
         self._outcome.highest_epoch = max(self._outcome.highest_epoch, message.epoch)
         if message.granted:
--- a/pipitledge/replication/stream.py
+++ b/pipitledge/replication/stream.py
@@ -170,7 +170,7 @@
 
     def _on_reply(self, previous: Position, reply: Struct | None) -> None:
         self._in_flight = False
-        if not isinstance(reply, AppendReply):
+        if not isinstance(reply, AppendReply) or reply.name != self.name:  # another machine may have the address by now
             self._refused = self._env.clock.now() - self._sent_at < QUICK_FAILURE_SECONDS
             self._aim = None
             self.confirmed = False  # it may have stored the entries and only its answer was lost: ask
