Let a member that stops leave the in-sync set, and stay until another holds what it holds

Cause: a stopping backup stayed in the set until it was silent for 0.7 s, so commits stalled; one of just enough copies ended after a fixed time, whether another node held what it held or not; its place was taken only 2 s after its end. Change: heartbeat answers say 'leaving'; the primary takes such a member out, or gives its place to a learner, while enough others hold everything. A node that ends waits until it is not relied on, at the most to 1 s before SIGKILL.

--- a/pipitledge/programs/core.py
+++ b/pipitledge/programs/core.py
@@ -107,9 +107,9 @@
         """Calls from outside that are being answered."""
         return sum(server.busy() for server in self._servers)
 
-    def wait_until_idle(self, deadline: float) -> None:
-        """Wait until no call from outside is being answered, at the latest until steady time `deadline`."""
-        while self.busy() and self.host.now() < deadline:
+    def wait_until_idle(self, deadline: float, needed: Callable[[], bool] = lambda: False) -> None:
+        """Wait while calls are answered or the process is `needed`, at the latest until steady time `deadline`."""
+        while (self.busy() or needed()) and self.host.now() < deadline:
             time.sleep(POLL_BUSY_SECONDS)
 
     def _reload(self) -> None:
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -64,7 +64,7 @@
         core.drain()
         core.host.run(self._hand_over, "termination")
         time.sleep(grace * STAY_PART)
-        core.wait_until_idle(terminated_at + grace - LAST_SECONDS)
+        core.wait_until_idle(terminated_at + grace - LAST_SECONDS, self._relied_on)
         if self._control is not None:
             self._control.close_disk(LAST_SECONDS / 2)
 
@@ -75,6 +75,15 @@
         if self._control is not None:
             self._control.replica.step_down()
 
+    def _relied_on(self) -> bool:
+        """Whether a backup still has to take over what this node alone may hold."""
+        control = self._control
+        if control is None:
+            return False
+        answers = list[bool]()
+        self._core.host.run(lambda: answers.append(control.replica.relied_on()), "termination")
+        return any(answers)
+
     def _serve_clients(self) -> None:
         """Take clients' calls, and tell the platform whether to send them."""
         core, bind = self._core, self._core.settings.bind
--- a/pipitledge/replication/replica.py
+++ b/pipitledge/replication/replica.py
@@ -17,7 +17,7 @@
 from pipitledge.replication.interface import PrimaryService
 from pipitledge.replication.primary import RELEASED, Primary, PrimaryOwner
 from pipitledge.replication.proposal import Derive, Outcome, Proposal
-from pipitledge.replication.quorum import Tolerance
+from pipitledge.replication.quorum import Tolerance, holds_state
 from pipitledge.replication.records import EpochRecord, RecoveredDisk, decode_epochs
 from pipitledge.replication.store import Store
 from pipitledge.replication.timing import ABDICATION_SECONDS, FOUNDING_GRACE_SECONDS, PROMISE_GRACE_SECONDS
@@ -107,6 +107,10 @@
         if self._primary is not None:
             self._primary.release()
 
+    def relied_on(self) -> bool:
+        """Whether this node is still of the in-sync set, so far as it knows: what it holds may not be elsewhere yet."""
+        return holds_state(self.view, self._env.name, self._env.me.disk_id)
+
     # ---- Replicator
 
     @property
@@ -293,6 +297,7 @@
             sequence=position.sequence,
             wall_ms=self._env.clock.wall_ms(),
             amnesiac=self._witness.amnesiac,
+            leaving=self._witness.leaving,
         )
         address = self._env.address_of(message.primary, message.view or self._view)
         if address:
--- a/pipitledge/replication/stream.py
+++ b/pipitledge/replication/stream.py
@@ -53,6 +53,7 @@
         self.name = name
         self.disk_id = 0  # as it told last; 0: not yet
         self.amnesiac = False
+        self.leaving = False  # it is about to stop
         self.durable = 0  # sequence it is known to hold on that disk
         self.confirmed = False  # it holds the same history, up to `durable`
         self.heartbeats_since_view = 0
@@ -112,6 +113,7 @@
         """It is alive; if its position was not known, go on from what it says."""
         self._heard(message.disk_id)
         self.amnesiac = message.amnesiac
+        self.leaving = message.leaving
         if self._aim is None:
             self._aim = Position(message.term, message.sequence)
         self.pump()
--- a/pipitledge/replication/target_view.py
+++ b/pipitledge/replication/target_view.py
@@ -23,6 +23,10 @@
     def amnesiac(self) -> bool:
         """Whether it has lost its promises."""
 
+    @property
+    def leaving(self) -> bool:
+        """Whether it is about to stop."""
+
     def responsive(self) -> bool:
         """Whether it answers."""
 
@@ -69,7 +73,7 @@
 
 def wants_learners(situation: Situation, base: View) -> bool:
     """Whether a node that is not a member could become one."""
-    return bool(_dead(situation, base.members)) or any(
+    return bool(_replaceable(situation, base.members)) or any(
         _may_grow(situation, base.members, node) for node in situation.counted.values()
     )
 
@@ -94,7 +98,7 @@
     if member.name == situation.me.name:
         return True
     backup = situation.backups.get(member.name)
-    if backup is None or not backup.responsive():
+    if backup is None or backup.leaving or not backup.responsive():
         return False
     before = member_of(base, member.name)
     stays = before is not None and member.name in base.in_sync and backup.disk_id in (0, before.disk_id)
@@ -110,11 +114,12 @@
     return replace(base, members=membership.members, previous=membership.previous, in_sync=in_sync)
 
 
-def _dead(situation: Situation, members: list[Member]) -> list[Member]:
+def _replaceable(situation: Situation, members: list[Member]) -> list[Member]:
+    """Members that have been silent for long, or say that they stop."""
     found = []
     for member in members:
         backup = situation.backups.get(member.name)
-        if member.name != situation.me.name and backup is not None and backup.unreachable():
+        if member.name != situation.me.name and backup is not None and (backup.leaving or backup.unreachable()):
             found.append(member)
     return found
 
@@ -127,10 +132,9 @@
 
 
 def _changed(situation: Situation, members: list[Member]) -> _Membership | None:
-    """Another list of members: a learner takes a dead member's place, or is added."""
+    """Another list of members: a learner takes the place of one that is gone or stops, or is added."""
     learners = [node for node in situation.counted.values() if _is_ready(situation, members, node)]
-    dead = _dead(situation, members)
-    for member in dead:
+    for member in _replaceable(situation, members):
         for node in sorted(learners, key=lambda node: (node.zone != member.zone, node.name)):
             others = [other for other in members if other.name != member.name]
             return _Membership([*others, _as_member(situation, node)], members)
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -84,6 +84,7 @@
     sequence: int = 0  # of the last entry held durably
     wall_ms: int = 0
     amnesiac: bool = False  # lost its disk and has not recovered its promises
+    leaving: bool = False  # is about to stop, and should not be relied on
 
 
 class Prepare(Struct):
