Give the first of an even number of members a second vote

Change: quorums, leases and recovered promises count votes; the first member of an even list has two, so the total is odd. Any majority by count is one by votes. The second vote moves to the primary by a change of members once its holder is gone. Founding still asks for a majority by count.

--- a/pipitledge/replication/founding.py
+++ b/pipitledge/replication/founding.py
@@ -103,7 +103,8 @@
     members = [_with_disk(env, member, promises.get(member.name)) for member in start.members]
     in_sync = [member.name for member in members if member.name in promises]
     view = View(epoch=epoch, term=epoch, primary=env.name, in_sync=in_sync, members=members)
-    if not has_quorum(view, in_sync) or not env.tolerance.suffices(in_sync, members):
+    most = 2 * len(in_sync) > len(members)  # nothing is founded by the second vote of one member
+    if not most or not has_quorum(view, in_sync) or not env.tolerance.suffices(in_sync, members):
         return None
     return view if holds_state(view, env.name, env.me.disk_id) else None
 
--- a/pipitledge/replication/lease.py
+++ b/pipitledge/replication/lease.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from pipitledge.replication.quorum import quorum_since
 from pipitledge.replication.timing import LEASE_HELD_SECONDS
-from pipitledge.wire.messages import Member, View
+from pipitledge.wire.messages import View
 
 
 class Lease:
-    """Runs while a majority of the members answered heartbeats that were sent a short time ago."""
+    """Runs while a quorum of the members answered heartbeats that were sent a short time ago."""
 
     def __init__(self, view: View) -> None:
         """Nobody has answered."""
@@ -36,10 +37,4 @@
         return self._until
 
     def _count(self) -> None:
-        lists = [self._view.members] + ([self._view.previous] if self._view.previous else [])
-        self._until = min(self._majority_since(members) for members in lists) + LEASE_HELD_SECONDS
-
-    def _majority_since(self, members: list[Member]) -> float:
-        """The latest time such that a majority answered a heartbeat sent then or later."""
-        times = sorted((self._answered.get(member.name, -LEASE_HELD_SECONDS) for member in members), reverse=True)
-        return times[len(members) // 2]
+        self._until = quorum_since(self._view, self._answered, never=-LEASE_HELD_SECONDS) + LEASE_HELD_SECONDS
--- a/pipitledge/replication/quorum.py
+++ b/pipitledge/replication/quorum.py
@@ -2,14 +2,33 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from pipitledge.wire.messages import Member, View
 
 
-def _count(members: list[Member], names: Collection[str]) -> int:
-    return sum(1 for member in members if member.name in names)
+def votes_of(members: list[Member]) -> dict[str, int]:
+    """How many votes each member has: one, and two for the first of an even number.
+
+    So the total is odd, and of two halves one can go on. A majority of an even number by count is one by votes too.
+    Which member is first changes only with the list, by way of a view that both lists decide on.
+    """
+    return {member.name: 1 + _has_casting_vote(members, index) for index, member in enumerate(members)}
+
+
+def _has_casting_vote(members: list[Member], index: int) -> bool:
+    return index == 0 and len(members) % 2 == 0
+
+
+def _is_majority(members: list[Member], names: Collection[str]) -> bool:
+    votes = votes_of(members)
+    return 2 * sum(count for name, count in votes.items() if name in names) > sum(votes.values())
+
+
+def _lists(view: View) -> list[list[Member]]:
+    """All lists that decide: while members change, those before too."""
+    return [view.members, view.previous] if view.previous else [view.members]
 
 
 def voters(view: View) -> list[Member]:
@@ -19,15 +38,26 @@
 
 
 def has_quorum(view: View, names: Collection[str]) -> bool:
-    """Whether `names` hold a majority of the members (and of those before, while members change)."""
-    lists = [view.members] + ([view.previous] if view.previous else [])
-    return all(2 * _count(members, names) > len(members) for members in lists)
+    """Whether `names` hold a majority of the votes (and of those before, while members change)."""
+    return all(_is_majority(members, names) for members in _lists(view))
 
 
 def meets_every_quorum(view: View, names: Collection[str]) -> bool:
-    """Whether every quorum has a node among `names` (n - q + 1 of them)."""
-    lists = [view.members] + ([view.previous] if view.previous else [])
-    return any(_count(members, names) >= len(members) - len(members) // 2 for members in lists)
+    """Whether every quorum has a node among `names`: all others together are none."""
+    return any(not _is_majority(members, _others(members, names)) for members in _lists(view))
+
+
+def _others(members: list[Member], names: Collection[str]) -> list[str]:
+    return [member.name for member in members if member.name not in names]
+
+
+def quorum_since(view: View, times: Mapping[str, float], never: float) -> float:
+    """The latest time such that members with that time or a later one are a quorum; `never` stands for no time."""
+    latest = sorted({times.get(member.name, never) for member in voters(view)}, reverse=True)
+    for time in latest:
+        if has_quorum(view, {member.name for member in voters(view) if times.get(member.name, never) >= time}):
+            return time
+    return never
 
 
 def member_of(view: View | None, name: str) -> Member | None:
--- a/pipitledge/replication/target_view.py
+++ b/pipitledge/replication/target_view.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from pipitledge.replication.quorum import Tolerance, member_of
+from pipitledge.replication.quorum import Tolerance, member_of, votes_of
 from pipitledge.wire.messages import Member, NodeDescriptor, View
 
 
@@ -65,7 +65,7 @@
         return _with_in_sync(situation, base, unchanged)
     if base.previous:
         return _with_in_sync(situation, base, _Membership(members, []))
-    changed = _changed(situation, members)
+    changed = _changed(situation, members) or _with_vote_moved(situation, members)
     if changed is not None and situation.tolerance.suffices(_good(situation, base, changed.members), changed.members):
         return _with_in_sync(situation, base, changed)
     return _with_in_sync(situation, base, unchanged)
@@ -144,6 +144,16 @@
     return None
 
 
+def _with_vote_moved(situation: Situation, members: list[Member]) -> _Membership | None:
+    """The same members with the primary first, where the one with two votes is gone and nobody takes its place."""
+    first = members[0].name
+    backup = situation.backups.get(first)
+    if votes_of(members)[first] == 1 or first == situation.me.name or backup is None or not backup.unreachable():
+        return None
+    others = [member for member in members if member.name != situation.me.name]
+    return _Membership([situation.me, *others], members)
+
+
 def _is_ready(situation: Situation, members: list[Member], node: NodeDescriptor) -> bool:
     backup = situation.backups.get(node.name)
     if backup is None or any(member.name == node.name for member in members):
