Tie each internal answer to its call by an id that the caller checks

Cause: an answer was tied to its call by its connection alone; one that came twice or late on a connection used again would have been taken for the next call's. Change: calls carry X-Call-Id, drawn from the process's life and a counter; answers repeat it. One of another call counts as no answer, and the connections to that address are not used again; one without a name is none. Result: NamedCallsTest in tests/system/test_runtime.py; tests of runtime and programs passed.

--- a/pipitledge/runtime/exchanges.py
+++ b/pipitledge/runtime/exchanges.py
@@ -7,6 +7,7 @@
 from pipitledge.runtime.answers import Answer
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.host import Host
+from pipitledge.runtime.http_calls import CALL_ID_HEADER
 from pipitledge.runtime.http_types import HttpHandler, HttpRequest, HttpResponse
 from pipitledge.runtime.logs import EventLog
 from pipitledge.wire import codec
@@ -57,14 +58,15 @@
         except codec.WireError as error:
             self._log.warning("malformed_message", peer=request.peer, reason=error)
             return HttpResponse(400, b'{"reason":"malformed message"}')
-        return self._answer(message, request.peer)
+        return self._answer(message, request.peer, request.headers.get(CALL_ID_HEADER.lower(), ""))
 
-    def _answer(self, message: Struct, peer: str) -> HttpResponse:
-        """Hand the message over and wait."""
+    def _answer(self, message: Struct, peer: str, call_id: str) -> HttpResponse:
+        """Hand the message over and wait; the answer names the call that it is for."""
         answer = Answer[HttpResponse]()
+        headers = {"Content-Type": "application/octet-stream", CALL_ID_HEADER: call_id}
 
         def reply(result: Struct) -> None:
-            answer.give(HttpResponse(200, codec.encode(result), {"Content-Type": "application/octet-stream"}))
+            answer.give(HttpResponse(200, codec.encode(result), headers))
 
         def hand_over() -> None:
             if not self._handlers.call(message, reply):
--- a/pipitledge/runtime/http_calls.py
+++ b/pipitledge/runtime/http_calls.py
@@ -19,6 +19,8 @@
 CONNECT_SECONDS = 0.5
 USER_TIMEOUT_MS = 1500  # bytes unacknowledged for so long end a connection
 MOST_ADDRESSES = 512  # with kept connections
+CALL_ID_HEADER = "X-Call-Id"
+OK = 200
 PLAIN_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -43,6 +45,7 @@
     body: bytes
     timeout: float  # seconds, from being asked for to the outcome
     headers: Mapping[str, str] = {}
+    call_id: str = ""  # an answer has to carry it, too; empty: the peer knows nothing of such names
 
 
 OnResult = Callable[[CallResult], None]
@@ -119,16 +122,23 @@
 
     def _request(self, call: OutgoingCall) -> CallResult:
         """Send the call and read the answer whole."""
+        named = {CALL_ID_HEADER: call.call_id} if call.call_id else {}
         response = self._pool(call.address).urlopen(
             "POST",
             call.path,
             body=call.body,
-            headers={**PLAIN_HEADERS, **call.headers},
+            headers={**PLAIN_HEADERS, **call.headers, **named},
             retries=False,
             redirect=False,
             assert_same_host=False,
             timeout=urllib3.Timeout(connect=min(CONNECT_SECONDS, call.timeout), read=call.timeout),
         )
+        answered = response.headers.get(CALL_ID_HEADER, "")
+        if call.call_id and answered not in ("", call.call_id):
+            self._forget_pool(call.address)  # what its connections carry can't be trusted any more
+            return CallResult(reason=f"answer to another call, {answered}")
+        if call.call_id and not answered and response.status == OK:
+            return CallResult(reason="answer that names no call")
         return CallResult(response.status, response.data)
 
     def _pool(self, address: str) -> HTTPConnectionPool:
@@ -142,6 +152,13 @@
                 self._pools.popitem(last=False)[1].close()
         return pool
 
+    def _forget_pool(self, address: str) -> None:
+        """Close the kept connections to that address; the next call makes others."""
+        with self._pools_lock:
+            pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.close()
+
     def _new_pool(self, address: str) -> HTTPConnectionPool:
         """A pool that keeps as many connections as calls may be under way."""
         ip, _, port = address.rpartition(":")
--- a/pipitledge/runtime/transport.py
+++ b/pipitledge/runtime/transport.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
+import secrets
+
 from msgspec import Struct
 
 from pipitledge.runtime.call_threads import CallLimits
@@ -9,7 +12,7 @@
 from pipitledge.runtime.exchanges import INTERNAL_PATH, InternalExchange
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.host import Host
-from pipitledge.runtime.http_calls import CallResult, HttpCalls, OutgoingCall
+from pipitledge.runtime.http_calls import OK, CallResult, HttpCalls, OutgoingCall
 from pipitledge.runtime.http_server import HttpServer, ServerOptions
 from pipitledge.runtime.logs import EventLog
 from pipitledge.runtime.ports import ReplyHandler
@@ -17,7 +20,7 @@
 
 LARGEST_MESSAGE = 64 * 1024 * 1024  # bytes; repairs and snapshots of state are the long ones
 IDLE_SECONDS = 120.0  # peers keep their connections
-OK = 200
+LIFE_BYTES = 6
 
 
 class NoFreePortError(OSError):
@@ -42,6 +45,8 @@
             connections=connections,
         )
         self._calls = HttpCalls(host, "calls", CallLimits())
+        self._life = secrets.token_hex(LIFE_BYTES)  # tells calls of this process from those of others at its address
+        self._call_numbers = itertools.count(1)
         self._server: HttpServer
         self.datagrams: Datagrams
         self.address = ""  # "ip:port", once bound
@@ -77,7 +82,9 @@
         def on_result(result: CallResult) -> None:
             on_reply(self._decoded(result, request, address))
 
-        self._calls.post(OutgoingCall(address, INTERNAL_PATH, codec.encode(request), timeout), on_result)
+        call_id = f"{self._life}-{next(self._call_numbers)}"
+        body = codec.encode(request)
+        self._calls.post(OutgoingCall(address, INTERNAL_PATH, body, timeout, call_id=call_id), on_result)
 
     def datagram(self, address: str, message: Struct) -> None:
         """Send once over UDP; may be lost."""
--- a/tests/system/test_control_members.py
+++ b/tests/system/test_control_members.py
@@ -135,9 +135,7 @@
                 cluster.start("s1")
                 cluster.world.run_for(delay)
                 self._power_all(cluster, {"n2"})
-                before = len(client.acks)
-                cluster.world.run_while(lambda before=before: len(client.acks) == before, 12.0)  # type: ignore[misc]
-                self.assertGreater(len(client.acks), before, "no write is acknowledged any more")
+                self.assertTrue(self._goes_on(cluster, client), "no write is acknowledged any more")
                 cluster.world.run_for(CATCH_UP_SECONDS)
                 victim = next(name for name in ("n0", "n1") if name != cluster.primary())
                 cluster.machines[victim].wipe()
@@ -148,6 +146,11 @@
                 self.assertGreater(len(client.acks), before)
                 invariants.check()
 
+    def _goes_on(self, cluster: Cluster, client: Client, limit: float = 12.0) -> bool:
+        """Whether a write is acknowledged in time."""
+        before = len(client.acks)
+        return cluster.world.run_while(lambda: len(client.acks) == before, limit)
+
     def _power_all(self, cluster: Cluster, gone: set[str]) -> None:
         """All that are there lose power, and come back."""
         names = [name for name in cluster.machines if name not in gone]
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -465,16 +465,19 @@
         self.assertTrue(box.empty())
 
 
-class HttpCallsTest(unittest.TestCase):
+class HttpCallsCase(unittest.TestCase):
     def setUp(self) -> None:
         self.time = FakeTime()
         self.host = Host(LOG, self.time)
         self.calls = HttpCalls(self.host, "test")
         self.addCleanup(self.calls.close)
         self.listener = socket.create_server((LOOPBACK, 0))
+        self.listener.settimeout(PATIENCE)
         self.addCleanup(self.listener.close)
         self.address = f"{LOOPBACK}:{self.listener.getsockname()[1]}"
 
+
+class HttpCallsTest(HttpCallsCase):
     def post(self, timeout: float) -> Box[CallResult]:
         box = Box[CallResult]()
         self.calls.post(OutgoingCall(self.address, "/", b"", timeout), box.put)
@@ -502,6 +505,49 @@
             self.listener.accept()
 
 
+class NamedCallsTest(HttpCallsCase):
+    """Calls that tell their name, which their answers have to carry."""
+
+    def named(self, call_id: str) -> Box[CallResult]:
+        box = Box[CallResult]()
+        self.calls.post(OutgoingCall(self.address, "/", b"", PATIENCE, call_id=call_id), box.put)
+        return box
+
+    def answer(self, connection: socket.socket, call_id: str) -> None:
+        """Read one request, and answer it in the name of a call."""
+        connection.recv(4096)
+        name = f"X-Call-Id: {call_id}\r\n" if call_id else ""
+        connection.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n{name}\r\nhi".encode())
+
+    def test_the_answer_to_a_call_is_taken_and_its_connection_used_again(self) -> None:
+        box = self.named("a-1")
+        connection, _ = self.listener.accept()
+        self.answer(connection, "a-1")
+        self.assertEqual(CallResult(200, b"hi"), box.take())
+        box = self.named("a-2")
+        self.answer(connection, "a-2")
+        self.assertEqual(CallResult(200, b"hi"), box.take())
+
+    def test_an_answer_that_came_late_is_not_taken_for_the_next_call(self) -> None:
+        box = self.named("a-1")
+        connection, _ = self.listener.accept()
+        self.answer(connection, "a-1")
+        box.take()
+        box = self.named("a-2")
+        self.answer(connection, "a-1")  # once more
+        self.assertEqual(0, box.take().status)
+        box = self.named("a-3")
+        fresh, _ = self.listener.accept()  # the connection that mixed them up is not used again
+        self.answer(fresh, "a-3")
+        self.assertEqual(CallResult(200, b"hi"), box.take())
+
+    def test_an_answer_that_names_no_call_is_none(self) -> None:
+        box = self.named("a-1")
+        connection, _ = self.listener.accept()
+        self.answer(connection, "")
+        self.assertEqual(0, box.take().status)
+
+
 class WorkerCallsTest(HttpServerCase):
     def post(self, address: str, instance: str) -> WorkerAnswer:
         calls = HttpWorkerCalls(self.host, address)
