Let a member that lost its disk vote again once a decided view names its new disk

Cause: a member asks others that meet every quorum for its lost promises. Of three, both others have to answer; where one of them was off since and then lost its disk too, two waited for each other for good. Found by a new search of views. Change: a decided view that names the new disk gives the vote back, too; why that is safe is told in amnesia.py. The search, 'pipitledge experiment views', plays the shipped votes, proposals, leases and recovery under any order of messages, stops, lost disks, cuts and time, and ends the faults to see that the group commits again.

--- a/pipitledge/cli/experiment.py
+++ b/pipitledge/cli/experiment.py
@@ -127,6 +127,54 @@
     return FAILED if broken else SUCCESS
 
 
+@app.command
+def views(
+    *,
+    members: Positive = 3,
+    tolerated: NotNegative = 1,
+    spares: NotNegative = 0,
+    most: NotNegative = 20_000,
+    walks: NotNegative = 1_000,
+    steps: Positive = 160,
+    first: NotNegative = 0,
+) -> int:
+    """Search the changes of view of a small group for a state that breaks what must hold.
+
+    Parameters
+    ----------
+    members:
+        Members of the group.
+    tolerated:
+        Disks that may be lost at once.
+    spares:
+        Counted nodes that may take a member's place.
+    most:
+        States to look at, breadth first within small bounds.
+    walks:
+        Drawn runs within wide bounds.
+    steps:
+        Actions in one drawn run.
+    first:
+        Seed of the first drawn run.
+    """
+    from pipitledge.emulator.cluster.view_model import Bounds, Group, Violation
+    from pipitledge.emulator.cluster.view_search import WIDE_BOUNDS, Search
+
+    search = Search(lambda: Group(members, tolerated, spares, Bounds()))
+    drawn = Search(lambda: Group(members, tolerated, spares, WIDE_BOUNDS))
+    try:
+        search.run(most)
+        for seed in range(first, first + walks):
+            drawn.walk(seed, steps)
+    except Violation as violation:
+        return _fail(str(violation), FAILED)
+    print(
+        f"{search.states} states{'' if not search.whole else ', all there are'}, {search.deepest} actions deep; "
+        f"{walks} walks of {drawn.states} actions; {search.recoveries + drawn.recoveries} recoveries; nothing broken"
+    )
+    return SUCCESS
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Carry out one command; its exit code."""
     tokens = list(sys.argv[1:] if arguments is None else arguments)
--- a/pipitledge/replication/amnesia.py
+++ b/pipitledge/replication/amnesia.py
@@ -1,7 +1,11 @@
 """How a member that lost its disk learns again what it may have promised.
 
-Proposals that its old disk took part in are over after `AMNESIA_SECONDS`. Any quorum that one of them reached has a
-node among n - q + 1 others, so what these promised and accepted covers all that mattered of this node's own promises.
+Proposals that its old disk took part in are over after `AMNESIA_SECONDS`. From then on there are two ways back:
+
+- Any quorum that one of them reached has a node among others that meet every quorum, so what these promised and
+  accepted covers all that mattered of this node's own promises.
+- A decided view that names the new disk was decided without this node, so by a quorum of others; it rests on all that
+  was decided before. So two members that lost their disks in turn never wait for each other for good.
 """
 
 from __future__ import annotations
@@ -11,7 +15,7 @@
 from msgspec import Struct
 
 from pipitledge.replication.environment import Environment
-from pipitledge.replication.quorum import meets_every_quorum, voters
+from pipitledge.replication.quorum import meets_every_quorum, member_of, voters
 from pipitledge.replication.timing import AMNESIA_RETRY_SECONDS, AMNESIA_SECONDS, PROPOSAL_SECONDS
 from pipitledge.replication.witness import Witness
 from pipitledge.wire.messages import EpochQuery, EpochReply, View
@@ -20,11 +24,18 @@
 class AmnesiaRecovery:
     """Asks in rounds until enough members have answered one of them."""
 
-    def __init__(self, env: Environment, witness: Witness, latest: Callable[[], View | None]) -> None:
-        """`latest` gives the view of the highest epoch known."""
+    def __init__(
+        self,
+        env: Environment,
+        witness: Witness,
+        latest: Callable[[], View | None],
+        decided: Callable[[], View | None],
+    ) -> None:
+        """`latest` gives the view of the highest epoch known, `decided` that of those known to be decided."""
         self._env = env
         self._witness = witness
         self._latest = latest
+        self._decided = decided
         self._heard: View | None = None  # a later view that an answer told of
         self._round = 0
         self._view: View | None = None  # whose members are asked in this round
@@ -35,7 +46,7 @@
         self._env.clock.at(self._env.clock.now() + AMNESIA_SECONDS, self._ask)
 
     def _ask(self) -> None:
-        if not self._witness.amnesiac:
+        if not self._witness.amnesiac or self._taken_in():
             return
         self._env.clock.at(self._env.clock.now() + AMNESIA_RETRY_SECONDS + PROPOSAL_SECONDS, self._ask)
         views = [view for view in (self._latest(), self._heard) if view is not None]
@@ -48,6 +59,15 @@
             if member.name != self._env.name:
                 self._ask_one(member.name, self._round)
 
+    def _taken_in(self) -> bool:
+        """Vote again if a decided view names this disk."""
+        view = self._decided()
+        member = member_of(view, self._env.name)
+        if view is None or member is None or member.disk_id != self._env.me.disk_id:
+            return False
+        self._witness.recover([EpochReply(promised=view.epoch, accepted=view)], self._recovered)
+        return True
+
     def _ask_one(self, name: str, number: int) -> None:
         address = self._env.address_of(name, self._view)
         request = EpochQuery(name=self._env.name)
--- a/pipitledge/replication/replica.py
+++ b/pipitledge/replication/replica.py
@@ -78,7 +78,7 @@
         self._highest_epoch = 0  # that any node told of
         self._backup = Backup(self._env, self._witness, self._store, self._known_view, self._on_primary_heard)
         self._election = Election(self._env, self._witness, self._latest, self._propose_takeover)
-        self._amnesia = AmnesiaRecovery(self._env, self._witness, self._latest)
+        self._amnesia = AmnesiaRecovery(self._env, self._witness, self._latest, lambda: self.view)
         self._founding = Founding(self._env, self._is_founded, may_found, self._propose_founding)
 
     def start(self) -> None:
--- a/tests/system/test_control_members.py
+++ b/tests/system/test_control_members.py
@@ -121,6 +121,24 @@
         cluster.world.run_for(2.0)
         self.assertGreater(len(client.acks), before + 20)
 
+    def test_two_that_lost_their_disks_in_turn_do_not_wait_for_each_other(self) -> None:
+        cluster = Cluster(3)
+        primary = cluster.found()
+        client = Client(cluster)
+        first, second = [name for name in cluster.machines if name != primary]
+        cluster.machines[first].wipe()
+        cluster.start(first)
+        cluster.await_in_sync(set(cluster.machines), 1.1)
+        self.assertTrue(cluster.replicas[first].status()["amnesiac"], "it can ask for its promises already")
+        self.assertTrue(client.write_and_wait(primary))
+        cluster.machines[second].power_off()
+        cluster.world.run_for(CATCH_UP_SECONDS + 1.0)
+        cluster.machines[second].wipe()
+        cluster.start(second)
+        leader = cluster.await_primary(12.0)
+        cluster.await_in_sync(set(cluster.machines), 6.0)
+        self.assertEqual([], client.missing(cluster.state(leader)))
+
     def test_second_loss_at_each_moment_of_a_replacement(self) -> None:
         for delay in (0.0, 0.5, 1.3, 1.9, 2.1, 2.2, 2.3, 2.4, 2.6, 3.0, 4.0):
             with self.subTest(delay=delay):
