Play halves, overlapping losses and power lost everywhere; check histories of the configuration

Cause: the simulator did not cut the counted machines into halves, took no loss beyond the tolerance, left machines that don't count on when disks are lost, read the configuration only at the end, and had no rule for RECOVER.

--- a/pipitledge/cli/experiment.py
+++ b/pipitledge/cli/experiment.py
@@ -175,6 +175,28 @@
     return SUCCESS
 
 
+@app.command
+def history(file: Path) -> int:
+    """Check a recorded history of orders and reads of the configuration.
+
+    Parameters
+    ----------
+    file:
+        One operation a line, as JSON (`emulator/cluster/history.py`).
+    """
+    from pipitledge.emulator.cluster.history import check, read_history
+
+    try:
+        operations = read_history(file.read_bytes())
+    except (OSError, msgspec.DecodeError, UnicodeDecodeError) as error:
+        return _fail(f"{file}: {error}", UNUSABLE)
+    findings = check(operations)
+    for finding in findings:
+        print(finding)
+    print(f"{len(operations)} operations, {len(findings)} findings")
+    return FAILED if findings else SUCCESS
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Carry out one command; its exit code."""
     tokens = list(sys.argv[1:] if arguments is None else arguments)
--- a/pipitledge/emulator/cluster/day.py
+++ b/pipitledge/emulator/cluster/day.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from pipitledge.emulator.cluster import deployment as deployments
+from pipitledge.emulator.cluster import history
 from pipitledge.emulator.cluster.auditor import Auditor, Breach
 from pipitledge.emulator.cluster.callers import Outside
 from pipitledge.emulator.cluster.clients import Clients
@@ -82,7 +83,10 @@
             self._final_fault()
         self.world.run_for(self.random.uniform(0.5, 4.0))
         self.faults.heal()
+        self._recover()
         self._settle()
+        for finding in history.check(self.operators.history):
+            self.auditor.breach("HISTORY", str(finding))
         return Verdict(
             self.seed,
             tuple(self.auditor.breaches),
@@ -107,7 +111,14 @@
     def _final_fault(self) -> None:
         """Right after an acknowledgement all counted machines lose power, and some of them their disks."""
         faults = self.faults
-        faults.after_acknowledgement(lambda: faults.all_counted(power=True, wipe=self.deployment.tolerated))
+        everyone = self.random.random() < 0.5
+
+        def strike() -> None:
+            faults.all_counted(power=True, wipe=self.deployment.tolerated)
+            if everyone:
+                faults.all_others()
+
+        faults.after_acknowledgement(strike)
         self.world.run_for(5.5)
 
     def _acknowledged(self) -> int:
@@ -116,6 +127,18 @@
 
     # ---- the end
 
+    def _recover(self) -> None:
+        """Once all machines are back, an order is acknowledged within the bound."""
+        if self.operators.known is None:
+            return
+        self.operators.change_now()
+        latest = self.operators.orders[-1]
+        done = self.world.run_while(lambda: latest.open, self.deployment.bounds.recovery_s)
+        if not done:
+            self.auditor.breach(
+                "RECOVER", f"no answer to an order {self.deployment.bounds.recovery_s} s after all is back"
+            )
+
     def _settle(self) -> None:
         """All that was accepted comes to its end, and all that was acknowledged is there."""
         self._wait(self.world.time + CALM_S, until_over=not any(job.lasts for job in self._open_jobs()))
--- a/pipitledge/emulator/cluster/faults.py
+++ b/pipitledge/emulator/cluster/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from pipitledge.emulator.cluster.site import Site
@@ -12,6 +13,8 @@
 
 LONGEST_OUTAGE_S = 8.0  # of all counted machines at once
 LONGEST_JUMP_MS = 4_000
+LONGEST_HALVES_S = 20.0
+BEYOND_SHARE = 0.2  # of the faults for which as many machines as tolerated are lost already
 ACKNOWLEDGEMENT_LOOK_S = 0.0005
 
 Mend = Callable[[], None]
@@ -33,6 +36,7 @@
         self._wiped: set[str] = set()
         self._mends: dict[int, Mend] = {}
         self._next_mend = 0
+        self._beyond = False  # whether the fault being drawn goes beyond what is tolerated
         self._gone_dark: set[str] = set()
         self.acknowledged: Callable[[], int] = lambda: 0  # acknowledgements that clients and operators have seen
         self.clocks_jump = random.random() < 0.3
@@ -57,6 +61,8 @@
         self._world.after(self._random.expovariate(1.0 / self._interval_s), self._next)
         if self._random.random() < 0.06:
             self._herd()
+        elif self._random.random() < 0.06:
+            self._halves()
         elif self._random.random() < self._machines_share:
             self._fault_of_machine()
         else:
@@ -116,7 +122,9 @@
             self._slow_link,
         ]
         if name in self._deployment.counted:
-            faults += [self._wipe, self._stall, self._slow_disk, self._step_down]
+            faults += [self._stall, self._slow_disk, self._step_down]
+            if not self._beyond:  # losses may overlap beyond what is tolerated, but those of disks
+                faults.append(self._wipe)
         if name in self._site.workers:
             faults += [self._cut, self._cut]  # workers that are cut off run on
         if self.clocks_jump and name in self._deployment.edges:
@@ -139,7 +147,9 @@
         others = [name for name in self._world.machines if name not in self._deployment.counted]
         others = [name for name in others if name not in self._busy]
         primary = self._site.primary()
-        may_lose = len(self._lost) < self._deployment.tolerated
+        tolerated = self._deployment.tolerated
+        self._beyond = len(self._lost) >= tolerated and self._random.random() < BEYOND_SHARE
+        may_lose = len(self._lost) < tolerated or self._beyond
         chance = self._random.random()
         if may_lose and primary in sound and chance < 0.3:
             return primary
@@ -242,6 +252,24 @@
 
     # ---- all counted machines
 
+    def _halves(self) -> None:
+        """The counted machines are cut into two halves; all others reach both."""
+        names = list(self._deployment.counted)
+        self._random.shuffle(names)
+        half, rest = names[: len(names) // 2], names[len(names) // 2 :]
+        pairs = [(one, other) for one in half for other in rest]
+        self._note(f"cut into {half} and {rest}")
+        for pair in pairs:
+            self._world.network.cut(*pair)
+
+        def mend() -> None:
+            for pair in pairs:
+                self._world.network.join(*pair)
+
+        for name in names[1:]:
+            self._until(name, LONGEST_HALVES_S, _nothing)
+        self._until(names[0], self._random.uniform(1.0, LONGEST_HALVES_S), mend)
+
     def _herd(self) -> None:
         """All counted machines go at once: some time after a disk hung, or right after an acknowledgement."""
         power = self._random.random() < 0.6
@@ -273,6 +301,18 @@
 
         look()
 
+    def all_others(self) -> None:
+        """All machines that don't count lose power, with the workers on them."""
+        for name, machine in self._world.machines.items():
+            if name not in self._deployment.counted and machine.process is not None and name not in self._busy:
+                self._busy.add(name)
+                mend = self._power(machine)
+                self._until(name, self._random.uniform(0.1, LONGEST_OUTAGE_S), partial(self._return, name, mend))
+
+    def _return(self, name: str, mend: Mend) -> None:
+        mend()
+        self._busy.discard(name)
+
     def all_counted(self, power: bool, wipe: int = 0) -> None:
         """All are killed, or lose power, at the same moment; so many of them lose their disks."""
         wiped = self._draw_wiped(0 if self._lost else wipe)
@@ -391,3 +431,7 @@
     def _may_go_for_good(self, worker: ModelWorker) -> bool:
         plans = self._deployment.of_service(worker.plan.service)
         return worker.node != plans[0].node
+
+
+def _nothing() -> None:
+    """Mend nothing: the machine was whole, only its links were cut."""
--- a/pipitledge/emulator/cluster/operators.py
+++ b/pipitledge/emulator/cluster/operators.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import math
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from pipitledge.emulator.cluster.auditor import Auditor
 from pipitledge.emulator.cluster.callers import REFUSED, SILENCE, Outside, Reply
 from pipitledge.emulator.cluster.deployment import HOST
+from pipitledge.emulator.cluster.history import Operation, Outcome
 
 UNCLEAR = (SILENCE, REFUSED, 408, 429, 500, 502, 503, 504)
 PROBES_KEPT = 2  # routes that are there only to see which version is in force
@@ -37,6 +39,11 @@
     refused_at: float = math.inf
     unclear: int = 0  # tries without a clear answer
 
+    @property
+    def open(self) -> bool:
+        """Whether it has no clear answer yet."""
+        return self.acknowledged_at == math.inf and self.refused_at == math.inf
+
 
 class Operators:
     """All operators of a day, sharing what they know."""
@@ -53,6 +60,7 @@
         self.known: Order | None = None  # the newest acknowledged
         self.first_at = math.inf  # when the first configuration was acknowledged
         self.stopped = False
+        self.history: list[Operation] = []  # every try and every read
         self._changes = 0
         self._reading = False
 
@@ -61,6 +69,14 @@
         self._send(self._whole(0, frozenset()))
         self._next()
         self._probe()
+        self._read_now_and_then()
+
+    def _read_now_and_then(self) -> None:
+        """Ask any node for the configuration in force; one that can't be sure of it says 503."""
+        if not self.stopped:
+            self._world.after(self._random.uniform(0.2, 1.0), self._read_now_and_then)
+            node = self._random.choice(self._deployment.edges)
+            self._outside.operator(node, "GET", "", b"", self._was_read)
 
     # ---- documents
 
@@ -129,6 +145,11 @@
         if chance < 0.45:  # another operator builds on the same version
             self._send(self._change(base))
 
+    def change_now(self) -> None:
+        """Send one more change."""
+        assert self.known is not None
+        self._send(self._change(self.known))
+
     def _send(self, order: Order) -> None:
         self.orders.append(order)
         order.sent_at = self._world.time
@@ -140,6 +161,7 @@
         self._outside.operator(node, order.method, str(order.built_on), order.body, done)
 
     def _answered(self, order: Order, reply: Reply) -> None:
+        self.history.append(_try_of(order, reply))
         acknowledged_before = order.acknowledged_at < math.inf
         if reply.status in UNCLEAR:
             order.unclear += 1
@@ -191,6 +213,7 @@
         """Judge a configuration that was read back."""
         document = json.loads(reply.body)
         version = document["version"]
+        self.history.append(_read_of(document, reply))
         orders = [order for order in self.orders if order.version == version and not order.invalid]
         if not any(_same(order.whole, document) for order in orders):
             self._auditor.breach("CONFIG", f"{version} was read back, and is not what was sent")
@@ -257,6 +280,40 @@
         self._auditor.breach("CONFIG", f"count of {name} at {reply.call.node}: {reply.status}, in force is {oldest}")
 
 
+def _try_of(order: Order, reply: Reply) -> Operation:
+    """A try of an order, for the history."""
+    if reply.status in UNCLEAR:
+        outcome = Outcome.UNCLEAR
+    elif reply.status == 200:
+        outcome = Outcome.ACKNOWLEDGED
+    else:
+        outcome = Outcome.REFUSED if reply.status == 412 else Outcome.INVALID
+    return Operation(
+        outcome,
+        reply.call.sent_at,
+        reply.at,
+        reply.call.node,
+        hashlib.sha256(b"%d " % order.built_on + order.body).hexdigest(),
+        order.built_on,
+        order.version,
+        _content(order.whole),
+        not order.invalid,
+    )
+
+
+def _read_of(document: dict[str, Any], reply: Reply) -> Operation:
+    """A read, for the history."""
+    sent_at, node = reply.call.sent_at, reply.call.node
+    content = _content(document)
+    return Operation(Outcome.READ, sent_at, reply.at, node, version=document["version"], content=content)
+
+
+def _content(document: dict[str, Any]) -> str:
+    """A digest of a configuration; the order of routes is of no account."""
+    routes = sorted(document.get("routes", []), key=lambda route: str(route["name"]))
+    return hashlib.sha256(json.dumps({**document, "routes": routes}, sort_keys=True).encode()).hexdigest()
+
+
 def _same(sent: dict[str, Any], read: dict[str, Any]) -> bool:
     """Whether two configurations say the same; the order of routes is of no account."""
 
