Let more than half of the seeds decide the first members, so that nothing is founded twice

Cause: two groups that share one seed which falls silent to both could each found; the gate only counted seeds heard of, and a member refused a founding that left out somebody it knew. A test with seven machines shows two foundings where the seeds' majority is taken out. Found beside it: a founder lost for good, whose view one member outside the set had accepted, left a group that never led. Change: single-decree Paxos among the seeds of the first start (replication/initial_members.py) decides the list of first members before any view is proposed; counted seeds keep their votes on the disk, others in memory, and one that restarted without its disk takes no part. A node of the in-sync set goes on from a first view that it only heard of. The test that a founding may leave out nobody known gives way to one that the list holds whom any asked seed knows; the test of a minority names its seeds, as it takes most of them to found.

--- a/pipitledge/emulator/cluster/site.py
+++ b/pipitledge/emulator/cluster/site.py
@@ -17,8 +17,9 @@
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.readiness import Readiness
 from pipitledge.membership.founding_gate import FoundingGate
-from pipitledge.membership.membership import Membership
+from pipitledge.membership.membership import Membership, internal_addresses
 from pipitledge.membership.primary_caller import PrimaryCaller
+from pipitledge.replication.initial_members import register_diskless_seed
 from pipitledge.replication.interface import PrimaryService
 from pipitledge.replication.quorum import Tolerance
 from pipitledge.replication.replica import Replica
@@ -177,6 +178,8 @@
         log = self._log(name)
         membership = self._membership(process, counted, bootstrap and counted, "edge")
         replica = self._build_control(process, membership, bootstrap) if counted else None
+        if replica is None:
+            register_diskless_seed(process.handlers, process.machine.address, bootstrap, membership)
         local = process.handlers.call if counted else None
         randomness = random.Random(process.random.random())
         caller = PrimaryCaller(process.clock, process.network, membership, randomness, local, name)
@@ -205,6 +208,7 @@
             membership,
             services,
             log,
+            internal_addresses(self._seeds, INTERNAL_PORT),
             FoundingGate(process.clock, membership, len(self._seeds)).open,
         )
         keeper = ConfigurationKeeper(replica, log)
--- a/pipitledge/emulator/cluster/view_model.py
+++ b/pipitledge/emulator/cluster/view_model.py
@@ -124,7 +124,7 @@
         record = EpochRecord(disk_id=node.disk_id, amnesiac=True) if node.disk is None else decode_epochs(node.disk)
         member = Member(node.name, node.name, disk_id=record.disk_id)
         self.env = Environment(self, self, self, Random(0), member, self.group.tolerance, self.membership, SilentLog())  # type: ignore[arg-type]
-        self.witness = Witness(self.env, record, True, set)
+        self.witness = Witness(self.env, record, True)
         self.proposal: Proposal | None = None
         self.leads: View | None = None  # a view that this life had decided for itself
         self.proposed: list[View] = []  # whose outcome it doesn't know
--- a/pipitledge/membership/founding_gate.py
+++ b/pipitledge/membership/founding_gate.py
@@ -1,4 +1,8 @@
-"""When a node of the first start may found the system: not before it has heard of enough of the seeds."""
+"""When a node of the first start tries to found the system: not before it has heard of enough of the seeds.
+
+That only saves vain attempts and waits for late starters; that nobody founds twice rests on the seeds' decision on the
+first members (`replication/initial_members.py`).
+"""
 
 from __future__ import annotations
 
@@ -26,5 +30,5 @@
         if not unheard:
             return True
         if 2 * len(unheard) >= self._seeds:
-            return False  # two groups, each of which hears of its own nodes only, can't both have more than half
+            return False  # an attempt would be in vain
         return self._clock.now() >= self._opens_at
--- a/pipitledge/membership/membership.py
+++ b/pipitledge/membership/membership.py
@@ -108,7 +108,7 @@
 
     def update_seeds(self, seeds: list[str]) -> None:
         """Use these seeds from now on."""
-        addresses = [f"{seed.rpartition(':')[0]}:{self._internal_port}" for seed in seeds]
+        addresses = internal_addresses(seeds, self._internal_port)
         self._seeds = [address for address in addresses if address != self.me.address]
 
     def seed_addresses(self) -> list[str]:
@@ -242,6 +242,11 @@
         return self._clock.now() - ALIVE_S
 
 
+def internal_addresses(seeds: list[str], internal_port: int) -> list[str]:
+    """Where nodes reach the seeds, which are "ip:port" of control planes; the internal port is alike everywhere."""
+    return [f"{seed.rpartition(':')[0]}:{internal_port}" for seed in seeds]
+
+
 def _is_newer(view: View | None, than: View | None) -> bool:
     return view is not None and view.epoch > (0 if than is None else than.epoch)
 
--- a/pipitledge/programs/control.py
+++ b/pipitledge/programs/control.py
@@ -7,6 +7,7 @@
 
 from pipitledge.configuration.keeper import ConfigurationKeeper
 from pipitledge.membership.founding_gate import FoundingGate
+from pipitledge.membership.membership import internal_addresses
 from pipitledge.programs.core import Core
 from pipitledge.programs.status import jobs_section, keeper_section, queues_section, workers_section
 from pipitledge.replication.interface import PrimaryService
@@ -101,6 +102,7 @@
         core.membership,
         services,
         logs.get("replica"),
+        internal_addresses(list(settings.seeds), settings.internal_ports[0]),
         FoundingGate(core.host, core.membership, len(settings.seeds)).open,
     )
     keeper = ConfigurationKeeper(replica, logs.get("keeper"))
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -17,6 +17,7 @@
 from pipitledge.programs.core import Core, prepare_process, wait_for_settings
 from pipitledge.programs.fronts import client_front, operator_front, readiness_front
 from pipitledge.programs.status import data_plane_section
+from pipitledge.replication.initial_members import register_diskless_seed
 from pipitledge.runtime import logs
 from pipitledge.runtime.http_server import HttpServer, ServerOptions
 
@@ -34,6 +35,8 @@
         self._core = core
         settings = core.settings
         self._control: ControlState | None = build_control_state(core) if settings.counted else None
+        if self._control is None:
+            register_diskless_seed(core.handlers, core.me.address, settings.bootstrap, core.membership)
         self._caller = PrimaryCaller(
             core.host,
             core.transport,
--- a/pipitledge/replication/founding.py
+++ b/pipitledge/replication/founding.py
@@ -1,10 +1,14 @@
-"""The first view: found by the first of the nodes that started with the system."""
+"""The first view: found by the first of the nodes that started with the system.
+
+Its members are decided before, by the seeds (`initial_members.py`), so that no second group can found another.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Callable
 
 from pipitledge.replication.environment import Environment
+from pipitledge.replication.initial_members import as_member
 from pipitledge.replication.quorum import has_quorum, holds_state
 from pipitledge.replication.timing import (
     FOUNDING_LIMIT_SECONDS,
@@ -17,14 +21,14 @@
 
 
 class Founding:
-    """Gathers the nodes of the first start; calls `propose` with the view to found when it is this node's turn."""
+    """Gathers the nodes of the first start; calls `propose` with those known when it is this node's turn to found."""
 
     def __init__(
         self,
         env: Environment,
         founded: Callable[[], bool],
         may_found: Callable[[], bool],
-        propose: Callable[[View], None],
+        propose: Callable[[list[Member]], None],
     ) -> None:
         """`founded` tells whether a view is known; `may_found` whether enough of the network has been reached."""
         self._env = env
@@ -56,12 +60,11 @@
         members = self._members()
         self._note([member.name for member in members])
         if self._is_time(members):
-            self._propose(View(members=members))
+            self._propose(members)
 
-    def known(self) -> set[str]:
-        """Names of all nodes that started with the system, so far as is known; nobody is forgotten."""
-        self._look()
-        return {self._env.name, *self._founders}
+    def known(self) -> list[Member]:
+        """All nodes that started with the system, so far as is known, in the order of their names."""
+        return self._members()
 
     def _look(self) -> None:
         for node in self._env.membership.counted():
@@ -71,7 +74,7 @@
     def _members(self) -> list[Member]:
         """This node and all others that started with the system, in the order of their names."""
         self._look()
-        members = [Member(node.name, node.address, node.zone, node.region) for node in self._founders.values()]
+        members = [as_member(node) for node in self._founders.values()]
         return sorted([*members, self._env.me], key=lambda member: member.name)
 
     def _note(self, names: list[str]) -> None:
--- a/pipitledge/replication/records.py
+++ b/pipitledge/replication/records.py
@@ -7,7 +7,18 @@
 import msgspec
 from msgspec import Struct
 
-from pipitledge.wire.messages import Entry, View
+from pipitledge.wire.messages import Entry, Member, View
+
+
+class InitialMembersRecord(Struct):
+    """What a seed promised and accepted of the list of first members."""
+
+    takes_part: bool = False  # started with the system, and has forgotten nothing since
+    seeds: list[str] = []  # internal addresses, as the settings of the first start named them
+    promised: int = 0  # highest ballot promised
+    promised_to: str = ""  # its proposer
+    accepted: int = 0  # ballot of the list accepted last; 0 if none
+    members: list[Member] = []  # that list
 
 
 class EpochRecord(Struct):
@@ -19,6 +30,7 @@
     disk_id: int = 0  # drawn when the disk was formatted
     amnesiac: bool = False  # the disk that held earlier promises is gone, and they are not recovered yet
     original: bool = False  # started with the system, and no view has taken this node in yet
+    initial: InitialMembersRecord = msgspec.field(default_factory=InitialMembersRecord)
 
 
 class Snapshot(Struct):
--- a/pipitledge/replication/replica.py
+++ b/pipitledge/replication/replica.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from functools import partial
 from random import Random
 
@@ -14,11 +14,17 @@
 from pipitledge.replication.environment import Environment, EventLog, MembershipSource, NodeInfo
 from pipitledge.replication.epochs import next_epoch, next_founding_epoch
 from pipitledge.replication.founding import Founding, founding_view
+from pipitledge.replication.initial_members import (
+    InitialMembersAcceptor,
+    InitialMembersProposal,
+    InitialOutcome,
+    next_ballot,
+)
 from pipitledge.replication.interface import PrimaryService
 from pipitledge.replication.primary import RELEASED, Primary, PrimaryOwner
 from pipitledge.replication.proposal import Derive, Outcome, Proposal
 from pipitledge.replication.quorum import Tolerance, holds_state
-from pipitledge.replication.records import EpochRecord, RecoveredDisk, decode_epochs
+from pipitledge.replication.records import EpochRecord, InitialMembersRecord, RecoveredDisk, decode_epochs
 from pipitledge.replication.store import Store
 from pipitledge.replication.timing import ABDICATION_SECONDS, FOUNDING_GRACE_SECONDS, PROMISE_GRACE_SECONDS
 from pipitledge.replication.witness import Witness
@@ -61,21 +67,31 @@
         membership: MembershipSource,
         services: list[PrimaryService],
         log: EventLog,
+        seeds: Sequence[str] = (),
         may_found: Callable[[], bool] = lambda: True,
     ) -> None:
-        """`recovered` is what `disk` held; `may_found` holds the founding of the system up while it is False: no two
-        groups of nodes that do not know of each other may both be told True (as by having reached most seeds).
+        """`recovered` is what `disk` held; `may_found` holds the founding of the system up while it is False.
+
+        `seeds` are the internal addresses of all seeds, this node's own among them if it is one; more than half of
+        those of the first start decide who the first members are. Where none is named, this node alone does.
         """
-        record, restarted = _starting_record(recovered, bootstrap, random)
+        record, restarted = _starting_record(recovered, bootstrap, random, seeds or [me.address])
         member = Member(me.name, me.address, me.zone, me.region, record.disk_id)
         self._env = Environment(clock, network, disk, random, member, tolerance, membership, log)
         self._services = services
-        self._witness = Witness(self._env, record, restarted, lambda: self._founding.known())
+        self._witness = Witness(self._env, record, restarted)
+        self._initial_seeds = record.initial.seeds
+        self._initial_members: list[Member] = []  # once decided
+        self._highest_ballot = record.initial.promised  # that any seed told of
+        self._acceptor = InitialMembersAcceptor(
+            me.address, record.initial, self._witness.persist, lambda: self._founding.known()
+        )
         self._store = Store(self._env, recovered)
         self._view: View | None = None
         self._primary: Primary | None = None
         self._proposing = False
         self._highest_epoch = 0  # that any node told of
+        self._first_view_heard: View | None = None  # accepted by another node; decided or not
         self._backup = Backup(self._env, self._witness, self._store, self._known_view, self._on_primary_heard)
         self._election = Election(self._env, self._witness, self._latest, self._propose_takeover)
         self._amnesia = AmnesiaRecovery(self._env, self._witness, self._latest, lambda: self.view)
@@ -97,6 +113,7 @@
         handlers.on_call(Prepare, self._on_prepare)
         handlers.on_call(Propose, self._on_propose)
         handlers.on_call(EpochQuery, self._on_epoch_query)
+        self._acceptor.register(handlers)
         handlers.on_call(Append, self._on_append)
         handlers.on_call(RepairRequest, self._on_repair_request)
 
@@ -172,10 +189,10 @@
         return self._view
 
     def _latest(self) -> View | None:
-        """The view of the highest epoch that this node knows or has accepted."""
+        """The view of the highest epoch that this node knows or has accepted; at the founding, that it heard of."""
         self._learn_from_membership()
         views = [view for view in (self._view, self._witness.accepted) if view is not None]
-        return max(views, key=lambda view: view.epoch, default=None)
+        return max(views, key=lambda view: view.epoch, default=self._first_view_heard)
 
     def _learn_from_membership(self) -> None:
         view = self._env.membership.view
@@ -209,7 +226,31 @@
         epoch = next_epoch(max(self._witness.promised, latest.epoch, self._highest_epoch), self._env.name)
         self._propose(epoch, latest, partial(takeover_view, self._env, epoch), self._election.failed)
 
-    def _propose_founding(self, start: View) -> None:
+    def _propose_founding(self, known: list[Member]) -> None:
+        """Have the first members decided, then a view of just these."""
+        if self._proposing:
+            return
+        if self._initial_members:
+            self._propose_first_view(View(members=self._initial_members))
+            return
+        self._proposing = True
+        ballot = next_ballot(self._highest_ballot, self._env.name)
+        InitialMembersProposal(
+            self._env, self._acceptor, self._initial_seeds, ballot, known, self._on_initial_members
+        ).run()
+
+    def _on_initial_members(self, outcome: InitialOutcome) -> None:
+        self._proposing = False
+        self._highest_ballot = max(self._highest_ballot, outcome.highest_ballot)
+        self._initial_members = outcome.members
+        names = [member.name for member in outcome.members]
+        self._env.log.info("initial_members", decided=",".join(names), highest=self._highest_ballot)
+        if self._env.name in names:
+            self._propose_first_view(View(members=outcome.members))
+        else:
+            self._founding.failed()
+
+    def _propose_first_view(self, start: View) -> None:
         epoch = next_founding_epoch(max(self._witness.promised, self._highest_epoch), self._env.name)
         derive = partial(founding_view, self._env, epoch, start)
         self._propose(epoch, start, derive, self._founding.failed, FOUNDING_GRACE_SECONDS)
@@ -232,6 +273,7 @@
         self._proposing = False
         self._highest_epoch = max(self._highest_epoch, outcome.highest_epoch)
         if outcome.decided is None:
+            self._first_view_heard = outcome.latest or self._first_view_heard
             self._env.log.info("not_elected", reason=outcome.reason, highest=outcome.highest_epoch)
             on_failed()
             return
@@ -337,9 +379,12 @@
             reply(RepairReply(granted=False, epoch=self._witness.promised, view=self._view))
 
 
-def _starting_record(recovered: RecoveredDisk, bootstrap: bool, random: Random) -> tuple[EpochRecord, bool]:
+def _starting_record(
+    recovered: RecoveredDisk, bootstrap: bool, random: Random, seeds: Sequence[str]
+) -> tuple[EpochRecord, bool]:
     """The epoch record to go on from, and whether an earlier life may have made promises."""
     if recovered.epochs is not None:
         return decode_epochs(recovered.epochs), True
     disk_id = random.getrandbits(DISK_ID_BITS) + 1
-    return EpochRecord(disk_id=disk_id, original=bootstrap, amnesiac=not bootstrap), not bootstrap
+    initial = InitialMembersRecord(takes_part=bootstrap, seeds=list(seeds))
+    return EpochRecord(disk_id=disk_id, original=bootstrap, amnesiac=not bootstrap, initial=initial), not bootstrap
--- a/pipitledge/replication/witness.py
+++ b/pipitledge/replication/witness.py
@@ -24,16 +24,10 @@
 class Witness:
     """Promises of this node."""
 
-    def __init__(
-        self, env: Environment, record: EpochRecord, restarted: bool, founders: Callable[[], set[str]]
-    ) -> None:
-        """Go on from `record`; after a restart a lease given before may still run.
-
-        `founders` gives the names of all nodes that started with the system, so far as is known.
-        """
+    def __init__(self, env: Environment, record: EpochRecord, restarted: bool) -> None:
+        """Go on from `record`; after a restart a lease given before may still run."""
         self._env = env
         self._record = record
-        self._founders = founders
         self._quiet_until = env.clock.now() + LEASE_PROMISED_SECONDS if restarted else 0.0
         self._lease_holder = ""
         self._lease_until = 0.0
@@ -123,12 +117,8 @@
             self._record.original = False
 
     def _may_found(self, view: View) -> bool:
-        """A view that founds the system is taken once, by a node of the first start, if it leaves out nobody known."""
-        if not is_founding(view.epoch):
-            return True
-        if self._record.accepted is not None or not self._record.original:
-            return False
-        return self._founders() <= {member.name for member in view.members}
+        """A view that founds the system is taken once, by a node of the first start."""
+        return not is_founding(view.epoch) or (self._record.accepted is None and self._record.original)
 
     # ---- what is told by others
 
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -135,6 +135,40 @@
     disk_id: int = 0
 
 
+class InitialPrepare(Struct):
+    """First phase of the decision on the first members: a seed promises to take no lower ballot."""
+
+    ballot: int = 0
+    proposer: str = ""
+
+
+class InitialPromise(Struct):
+    """A seed's answer to `InitialPrepare`."""
+
+    granted: bool = False
+    address: str = ""  # the seed's internal address
+    ballot: int = 0  # highest promised
+    accepted: int = 0  # ballot of the list accepted; 0 if none
+    members: list[Member] = []  # that list
+    known: list[Member] = []  # counted nodes that started with the system, so far as the seed knows
+
+
+class InitialPropose(Struct):
+    """Second phase: accept these as the first members."""
+
+    ballot: int = 0
+    proposer: str = ""
+    members: list[Member] = []
+
+
+class InitialAccepted(Struct):
+    """A seed's answer to `InitialPropose`."""
+
+    granted: bool = False
+    address: str = ""  # the seed's internal address
+    ballot: int = 0  # highest promised
+
+
 class Write(Struct):
     """One key's new value in replicated state; `deleted` removes the key."""
 
--- /dev/null
+++ b/tests/system/test_initial_members.py
@@ -0,0 +1,242 @@
+"""The first members are decided once: the seeds' votes, and foundings amid cuts, losses and late starts."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from msgspec import Struct
+
+from pipitledge.replication import initial_members
+from pipitledge.replication.initial_members import InitialMembersAcceptor
+from pipitledge.replication.records import InitialMembersRecord
+from pipitledge.runtime.handlers import Handlers
+from pipitledge.wire.messages import (
+    InitialAccepted,
+    InitialPrepare,
+    InitialPromise,
+    InitialPropose,
+    Member,
+    NodeDescriptor,
+    View,
+)
+from tests.system.replica_cluster import Cluster
+
+FIRST_LIST = [Member("a", "a"), Member("b", "b")]
+OTHER_LIST = [Member("c", "c")]
+
+
+class AcceptorTest(unittest.TestCase):
+    """One seed, asked by hand."""
+
+    def setUp(self) -> None:
+        self.durable: list[Callable[[], None]] = []
+        self.record = InitialMembersRecord(takes_part=True)
+        self.acceptor = self.acceptor_of(self.record)
+
+    def acceptor_of(self, record: InitialMembersRecord) -> InitialMembersAcceptor:
+        return InitialMembersAcceptor("s1", record, self.durable.append, lambda: FIRST_LIST)
+
+    def prepare(self, ballot: int, proposer: str = "a") -> InitialPromise:
+        answers: list[InitialPromise] = []
+        self.acceptor.on_prepare(InitialPrepare(ballot, proposer), answers.append)
+        self.sync()
+        return answers[0]
+
+    def propose(self, ballot: int, members: list[Member], proposer: str = "a") -> InitialAccepted:
+        answers: list[InitialAccepted] = []
+        self.acceptor.on_propose(InitialPropose(ballot, proposer, members), answers.append)
+        self.sync()
+        return answers[0]
+
+    def sync(self) -> None:
+        while self.durable:
+            self.durable.pop()()
+
+    def test_a_promise_tells_whom_the_seed_knows_and_what_it_accepted(self) -> None:
+        first = self.prepare(5)
+        self.assertEqual((first.granted, first.accepted, first.members, first.known), (True, 0, [], FIRST_LIST))
+        self.assertTrue(self.propose(5, OTHER_LIST).granted)
+        second = self.prepare(6, "b")
+        self.assertEqual((second.accepted, second.members), (5, OTHER_LIST))
+
+    def test_it_takes_no_lower_ballot_and_one_ballot_from_one_proposer(self) -> None:
+        self.assertTrue(self.prepare(5).granted)
+        self.assertEqual([self.prepare(4).granted, self.prepare(5, "b").granted], [False, False])
+        self.assertEqual([self.propose(4, OTHER_LIST).granted, self.propose(5, OTHER_LIST, "b").granted], [False] * 2)
+        self.assertTrue(self.propose(5, FIRST_LIST).granted)
+
+    def test_it_answers_once_its_record_is_durable(self) -> None:
+        answers: list[Struct] = []
+        self.acceptor.on_prepare(InitialPrepare(5, "a"), answers.append)
+        self.acceptor.on_propose(InitialPropose(5, "a", FIRST_LIST), answers.append)
+        self.assertEqual(answers, [])
+        self.sync()
+        self.assertEqual(len(answers), 2)
+
+    def test_one_that_may_have_forgotten_takes_no_part(self) -> None:
+        self.acceptor = self.acceptor_of(InitialMembersRecord(takes_part=False))
+        self.assertFalse(self.prepare(5).granted)
+        self.assertFalse(self.propose(5, FIRST_LIST).granted)
+
+    def test_a_seed_without_a_disk_votes_in_the_first_start_only(self) -> None:
+        for bootstrap in (True, False):
+            with self.subTest(bootstrap=bootstrap):
+                handlers = Handlers()
+                initial_members.register_diskless_seed(handlers, "s1", bootstrap, Known())
+                answers: list[Struct] = []
+                handlers.call(InitialPrepare(5, "a"), answers.append)
+                [promise] = answers
+                assert isinstance(promise, InitialPromise)
+                self.assertEqual(promise.granted, bootstrap)
+                self.assertEqual(promise.known, [Member("a", "a")] if bootstrap else [])
+
+
+class Known:
+    """Membership that has heard of one node of the first start, and of one that came later."""
+
+    view: View | None = None
+
+    def counted(self) -> list[NodeDescriptor]:
+        return [NodeDescriptor("a", "a", bootstrap=True, counted=True), NodeDescriptor("b", "b", counted=True)]
+
+    def offer_view(self, view: View) -> None:
+        raise AssertionError("not used")
+
+
+class FoundingByGroupsTest(unittest.TestCase):
+    """Two groups that do not know of each other, and a seed that both reach until it falls silent.
+
+    Seeds are n0 (of the one group), n1 (of the other) and n2 (known to neither).
+    """
+
+    GROUPS = ({"n0", "n3", "n4"}, {"n1", "n5", "n6"})
+
+    def cluster(self, seed: int) -> Cluster:
+        cluster = Cluster(7, machines=1, seed=seed)
+        for group, others in (self.GROUPS, self.GROUPS[::-1]):
+            for name in group:
+                cluster.groups[name] = group
+                for other in others:
+                    cluster.world.network.cut(name, other)
+        cluster.groups["n2"] = {"n2"}
+        return cluster
+
+    def founded(self, cluster: Cluster) -> set[tuple[str, ...]]:
+        """The lists of members of all views that are known to be decided."""
+        views = [replica.view for replica in cluster.replicas.values()]
+        return {tuple(member.name for member in view.members) for view in views if view is not None}
+
+    def play(self, silent_after: float, seed: int, heal: bool = True) -> tuple[set[tuple[str, ...]], Cluster]:
+        """Start all, let n2 fall silent, and end the cuts later."""
+        cluster = self.cluster(seed)
+        cluster.start_all(bootstrap=True)
+        cluster.world.run_for(silent_after)
+        cluster.world.network.isolate("n2")
+        cluster.world.run_for(25.0)
+        founded = self.founded(cluster)
+        cluster.groups.clear()
+        cluster.world.network.join_all()
+        if heal:
+            cluster.await_primary(30.0)
+            cluster.world.run_for(6.0)
+        return founded, cluster
+
+    def moments(self) -> list[float]:
+        """Before, amid and after the first attempt, each few milliseconds."""
+        return [1.0, 1.5, *(1.6 + step / 500 for step in range(0, 200, 4)), 2.2, 3.0, 9.0]
+
+    def test_at_most_one_group_founds_whenever_the_shared_seed_falls_silent(self) -> None:
+        founded_by = set[tuple[str, ...]]()
+        for seed, moment in enumerate(self.moments()):
+            with self.subTest(moment=moment):
+                founded, cluster = self.play(moment, seed)
+                self.assertLessEqual(len(founded), 1)
+                founded_by |= founded
+                self.assertEqual(len(cluster.primaries()), 1)
+                self.assertEqual(len(self.founded(cluster)), 1)
+        self.assertEqual(len(founded_by), 2, "each group was the one that founds, at some moment")
+
+    def test_without_the_seeds_majority_both_groups_found(self) -> None:
+        with mock.patch.object(initial_members, "is_majority_of_seeds", lambda answers, _seeds: bool(answers)):
+            founded, _ = self.play(1.0, 0, heal=False)
+        self.assertEqual(len(founded), 2)
+
+    def test_seeds_that_forget_can_lead_to_two_foundings(self) -> None:
+        """Why one that restarted without its disk takes no part: here it votes again, as if it had never voted."""
+        for remembers, groups in ((True, 1), (False, 2)):
+            with self.subTest(remembers=remembers):
+                cluster = self.cluster(3)
+                for name in self.GROUPS[1]:
+                    cluster.world.network.isolate(name)
+                cluster.start_all(bootstrap=True)
+                cluster.await_primary(25.0)
+                for name in self.GROUPS[0]:
+                    cluster.world.network.isolate(name)
+                for name in self.GROUPS[1]:
+                    for other in (*self.GROUPS[1], "n2"):
+                        cluster.world.network.join(name, other)
+                cluster.machines["n2"].wipe()
+                cluster.start("n2", bootstrap=not remembers)
+                cluster.world.run_for(30.0)
+                self.assertEqual(len(self.founded(cluster)), groups)
+
+
+class FirstStartTest(unittest.TestCase):
+    """Seeds that start late, are down, or are no counted nodes."""
+
+    def test_one_of_three_seeds_that_never_starts_holds_nothing_up(self) -> None:
+        cluster = Cluster(5, machines=1)
+        for name in ("n0", "n2", "n3", "n4"):
+            cluster.start(name, bootstrap=True)
+        cluster.await_primary(5.0)
+        self.assertEqual(len(cluster.view().members), 4)
+
+    def test_nothing_is_founded_without_most_seeds_and_it_is_once_they_start(self) -> None:
+        cluster = Cluster(5, machines=1)
+        for name in ("n0", "n3", "n4"):
+            cluster.start(name, bootstrap=True)
+        cluster.world.run_for(30.0)
+        self.assertEqual(cluster.primaries(), [])
+        cluster.start("n1", bootstrap=True)
+        cluster.await_primary(3.0)
+
+    def test_a_seed_knows_of_a_node_that_the_founder_has_not_heard_of(self) -> None:
+        cluster = Cluster(4, machines=1)
+        for name in ("n0", "n1", "n3"):
+            cluster.groups[name] = {"n0", "n1", "n3"}
+        cluster.start_all(bootstrap=True)
+        cluster.await_primary(5.0)
+        self.assertEqual([member.name for member in cluster.view().members], ["n0", "n1", "n2", "n3"])
+
+    def test_power_lost_everywhere_at_any_moment_of_the_founding(self) -> None:
+        for step in range(0, 60, 3):
+            with self.subTest(step=step):
+                cluster = Cluster(3, seed=step)
+                cluster.start_all(bootstrap=True)
+                cluster.world.run_until(1.5 + step / 100)
+                for machine in cluster.machines.values():
+                    machine.power_off()
+                cluster.seeds = ["n1"]  # other seeds in the settings of later starts: those of the first one count
+                cluster.start_all()
+                cluster.await_primary(25.0)
+
+    def test_the_founder_is_lost_for_good_once_its_view_was_accepted_by_one(self) -> None:
+        """That one is not of the in-sync set, so another has to go on from a view that it only heard of."""
+        cluster = Cluster(3, machines=1)
+        network, replicas = cluster.world.network, cluster.replicas
+        network.cut("n2", "n0", both=False)  # n0 gets no promise of n2, so that one is not of the set
+        cluster.start_all(bootstrap=True)
+        cluster.world.run_while(lambda: replicas["n1"]._witness.promised == 0, 5.0)
+        cluster.world.run_for(0.1)  # its promise arrives; n0 waits for that of n2
+        network.cut("n0", "n1")
+        cluster.world.run_while(lambda: replicas["n2"]._witness.accepted is None, 1.0)
+        cluster.machines["n0"].wipe()
+        self.assertEqual([replicas[name]._witness.accepted is None for name in ("n1", "n2")], [True, False])
+        cluster.forget("n0")
+        self.assertEqual(cluster.await_primary(25.0), "n1")
+
+
+if __name__ == "__main__":
+    unittest.main()
