Add `pipitledge system recover` for the three states that end by hand only

Cause: members that lost their promises in turn while cut off, members gone for good beyond a quorum, and a start of all counted machines without disks never led again, and the pages had no command for it.

--- a/pipitledge/cli/system.py
+++ b/pipitledge/cli/system.py
@@ -1,4 +1,4 @@
-"""`pipitledge system`: run the cluster scheduler's programs, check settings, look into data folders, ask processes.
+"""`pipitledge system`: run the programs, check settings, look into data folders, ask processes, recover by hand.
 
 Exit codes: 0 all is well; 1 there are problems, or the process asked cannot tell this; 2 wrong usage, or what was named
 cannot be reached or read.
@@ -17,11 +17,12 @@
 from cyclopts import Parameter
 
 from pipitledge import __version__
-from pipitledge.cli import data_folder, system_status
+from pipitledge.cli import data_folder, system_recover, system_status
 from pipitledge.cli.data_folder import FolderContent, FolderProblem
 from pipitledge.cli.settings_check import check_settings
 from pipitledge.cli.system_status import Fault, StatusProblem
 from pipitledge.cli.tables import console_for, show_pairs, show_rows, show_section
+from pipitledge.replication.forced_recovery import RecoveryRefusal
 from pipitledge.runtime.settings import CONFIG_VARIABLE, DEFAULT_CONFIG_PATH
 
 SUCCESS, PROBLEM, UNUSABLE = 0, 1, 2  # exit codes
@@ -134,6 +135,52 @@
     return SUCCESS
 
 
+@app.command
+def recover(
+    addresses: Annotated[list[str], Parameter(negative=())],
+    /,
+    *,
+    member: Annotated[list[str] | None, Parameter(negative=())] = None,
+    lost: Annotated[list[str] | None, Parameter(negative=())] = None,
+    as_json: AsJson = False,
+) -> int:
+    """Make the counted nodes named a group again where no quorum can be had any more: the last resort.
+
+    Without --member it only tells what the nodes know and what would be lost. Exit code 0 done (or a plan exists),
+    1 refused, 2 wrong usage or a node cannot be reached.
+
+    Parameters
+    ----------
+    addresses:
+        ip:port of the internal port of every counted node that still runs.
+    member:
+        Name of a node that is to be a member; once for each.
+    lost:
+        Name of a member that is gone for good and will not come back; once for each.
+    as_json:
+        One JSON object.
+    """
+    states = system_recover.survey(addresses)
+    if isinstance(states, StatusProblem):
+        return _fail_status(states)
+    plan = system_recover.plan_for(states, member or [], lost or [])
+    if as_json:
+        _print_json({"nodes": msgspec.to_builtins(states), "plan": msgspec.to_builtins(plan)})
+    else:
+        show_rows(console_for(sys.stdout), "nodes", [system_recover.row(state) for state in states])
+    if isinstance(plan, RecoveryRefusal):
+        return _fail(f"refused: {plan.reason}", PROBLEM)
+    print(f"would be lost: {plan.loss}", file=sys.stderr)
+    if not member:
+        print("nothing was changed; name each new member with --member to go on", file=sys.stderr)
+        return SUCCESS
+    problem = system_recover.force(plan, states)
+    if problem is not None:
+        return _fail(f"refused: {problem}", PROBLEM)
+    print(f"the view of epoch {plan.view.epoch} is in force; {plan.view.primary} leads next", file=sys.stderr)
+    return SUCCESS
+
+
 def main(arguments: Sequence[str] | None = None) -> int:
     """Carry out one command; its exit code."""
     tokens = list(sys.argv[1:] if arguments is None else arguments)
--- a/pipitledge/cli/system_status.py
+++ b/pipitledge/cli/system_status.py
@@ -70,20 +70,31 @@
 
 def ask(address: str, section: str = "", post: Post = post_message) -> Sections | StatusProblem:
     """The sections that the process at `address` has; `section` asks for one alone."""
+    reply = exchange(address, StatusRequest(section), post)
+    if isinstance(reply, StatusProblem):
+        return reply
+    sections = _sections(reply)
+    if sections is None:
+        return StatusProblem(Fault.NOT_OURS, address, "its answer is no status")
+    if section and section not in sections:
+        return StatusProblem(Fault.NO_SECTION, address, _who_has(section))
+    return sections
+
+
+def exchange(address: str, request: Struct, post: Post = post_message) -> Struct | StatusProblem:
+    """What the process at `address` ("ip:port" of its internal port) answers to a message."""
     if not _is_address(address):
         return StatusProblem(Fault.BAD_ADDRESS, address, "it has to be ip:port, of a process's internal port")
     try:
-        answer = post(address, codec.encode(StatusRequest(section)))
+        answer = post(address, codec.encode(request))
     except NoAnswerError as error:
         return StatusProblem(Fault.NO_ANSWER, address, str(error))
     if answer.status != OK:
         return StatusProblem(Fault.NOT_OURS, address, f"it answers {INTERNAL_PATH} with HTTP {answer.status}")
-    sections = _decoded(answer.body)
-    if sections is None:
-        return StatusProblem(Fault.NOT_OURS, address, "its answer is no status")
-    if section and section not in sections:
-        return StatusProblem(Fault.NO_SECTION, address, _who_has(section))
-    return sections
+    try:
+        return codec.decode(answer.body)
+    except codec.WireError:
+        return StatusProblem(Fault.NOT_OURS, address, "its answer is no message of the system")
 
 
 def not_primary(address: str, section: dict[str, object]) -> StatusProblem | None:
@@ -101,12 +112,13 @@
     return bool(host) and "/" not in host and port.isdecimal() and 0 < int(port) <= LAST_PORT
 
 
-def _decoded(body: bytes) -> Sections | None:
-    """The sections in an answer; None if it is none of ours."""
+def _sections(reply: Struct) -> Sections | None:
+    """The sections in an answer; None if it is no status."""
+    if not isinstance(reply, StatusReply):
+        return None
     try:
-        reply = codec.decode(body)
-        return msgspec.json.decode(reply.body, type=Sections) if isinstance(reply, StatusReply) else None
-    except (codec.WireError, msgspec.MsgspecError):
+        return msgspec.json.decode(reply.body, type=Sections)
+    except msgspec.MsgspecError:
         return None
 
 
--- a/pipitledge/replication/amnesia.py
+++ b/pipitledge/replication/amnesia.py
@@ -20,6 +20,8 @@
 from pipitledge.replication.witness import Witness
 from pipitledge.wire.messages import EpochQuery, EpochReply, View
 
+ROUNDS_BETWEEN_WARNINGS = 10
+
 
 class AmnesiaRecovery:
     """Asks in rounds until enough members have answered one of them."""
@@ -40,6 +42,16 @@
         self._round = 0
         self._view: View | None = None  # whose members are asked in this round
         self._replies: dict[str, EpochReply] = {}
+        self._also_amnesiac: set[str] = set()  # members that answered this round without promises of their own
+
+    @property
+    def rounds(self) -> int:
+        """Rounds of questions so far."""
+        return self._round
+
+    def also_amnesiac(self) -> list[str]:
+        """Members without promises, by the last round; empty once this one has its own back."""
+        return sorted(self._also_amnesiac) if self._witness.amnesiac else []
 
     def start(self) -> None:
         """Wait until the proposals of before are over, then ask."""
@@ -51,14 +63,27 @@
         self._env.clock.at(self._env.clock.now() + AMNESIA_RETRY_SECONDS + PROPOSAL_SECONDS, self._ask)
         views = [view for view in (self._latest(), self._heard) if view is not None]
         self._view = max(views, key=lambda view: view.epoch, default=None)
+        if self._round and self._round % ROUNDS_BETWEEN_WARNINGS == 0:
+            self._warn()
         self._round += 1
         self._replies = {}
+        self._also_amnesiac = set()
         if self._view is None:
             return
         for member in voters(self._view):
             if member.name != self._env.name:
                 self._ask_one(member.name, self._round)
 
+    def _warn(self) -> None:
+        """Tell of what does not end by itself where too few members have kept their promises."""
+        self._env.log.warning(
+            "promises_not_recovered",
+            step="ask",
+            rounds=self._round,
+            answered=",".join(sorted(self._replies)),
+            also_amnesiac=",".join(sorted(self._also_amnesiac)),
+        )
+
     def _taken_in(self) -> bool:
         """Vote again if a decided view names this disk."""
         view = self._decided()
@@ -76,7 +101,10 @@
     def _on_reply(self, name: str, number: int, reply: Struct | None) -> None:
         if number != self._round or not isinstance(reply, EpochReply) or not self._witness.amnesiac:
             return
-        if reply.amnesiac or reply.name != name:  # or the address belongs to another machine by now
+        if reply.name != name:  # the address belongs to another machine by now
+            return
+        if reply.amnesiac:
+            self._also_amnesiac.add(name)
             return
         self._replies[name] = reply
         self._note(reply.accepted)
--- a/pipitledge/replication/replica.py
+++ b/pipitledge/replication/replica.py
@@ -42,6 +42,10 @@
     Prepare,
     Promise,
     Propose,
+    RecoveryAnswer,
+    RecoveryOrder,
+    RecoveryQuery,
+    RecoveryState,
     RepairReply,
     RepairRequest,
     View,
@@ -113,6 +117,8 @@
         handlers.on_call(Prepare, self._on_prepare)
         handlers.on_call(Propose, self._on_propose)
         handlers.on_call(EpochQuery, self._on_epoch_query)
+        handlers.on_call(RecoveryQuery, self._on_recovery_query)
+        handlers.on_call(RecoveryOrder, self._on_recovery_order)
         self._acceptor.register(handlers)
         handlers.on_call(Append, self._on_append)
         handlers.on_call(RepairRequest, self._on_repair_request)
@@ -174,6 +180,8 @@
             "members": [member.name for member in view.members] if view is not None else [],
             "promised": self._witness.promised,
             "amnesiac": self._witness.amnesiac,
+            "recoveryRounds": self._amnesia.rounds,
+            "alsoAmnesiac": self._amnesia.also_amnesiac(),
             "leads": self.is_primary(),
             "entryTerm": position.term,
             "entrySequence": position.sequence,
@@ -369,6 +377,37 @@
     def _on_epoch_query(self, message: EpochQuery, reply: Callable[[EpochReply], None]) -> None:
         reply(self._witness.epoch_reply())
 
+    def _on_recovery_query(self, message: RecoveryQuery, reply: Callable[[RecoveryState], None]) -> None:
+        me, position = self._env.me, self._store.position
+        state = RecoveryState(
+            name=me.name,
+            address=me.address,
+            zone=me.zone,
+            region=me.region,
+            disk_id=me.disk_id,
+            promised=self._witness.promised,
+            accepted=self._witness.accepted,
+            decided=self.view,
+            amnesiac=self._witness.amnesiac,
+            leads=self.is_primary(),
+            hears_primary=self._witness.hears_primary(),
+            term=position.term,
+            sequence=position.sequence,
+        )
+        reply(state)
+
+    def _on_recovery_order(self, message: RecoveryOrder, reply: Callable[[RecoveryAnswer], None]) -> None:
+        view = message.view
+        if self._primary is not None:
+            reply(RecoveryAnswer(False, self._env.name, "it leads"))
+            return
+        self._env.log.warning("recovery_by_hand", epoch=view.epoch, primary=view.primary)
+
+        def answer(reason: str) -> None:
+            reply(RecoveryAnswer(not reason, self._env.name, reason))
+
+        self._witness.force(view, answer)
+
     def _on_append(self, message: Append, reply: Callable[[AppendReply], None]) -> None:
         self._backup.on_append(message, reply)
 
--- a/pipitledge/replication/witness.py
+++ b/pipitledge/replication/witness.py
@@ -17,6 +17,7 @@
 REASON_EPOCH = "epoch"  # a higher epoch, or this one to another proposer, is promised
 REASON_LEASE = "lease"  # another node may hold the lease
 REASON_AMNESIAC = "amnesiac"  # promises were lost with the disk
+REASON_NOT_NAMED = "not named"  # the view does not name this node with its disk
 GRANTED_TO_CONTINUE = "continue"  # granted, but of use only if the proposer is the primary of the view it goes on from
 GRANTED_LEAVING = "leaving"  # granted; this node is about to stop and should not be relied on
 
@@ -169,6 +170,30 @@
         accepted = self._record.accepted
         return accepted.primary if accepted is not None else ""
 
+    # ---- recovery by hand
+
+    def force(self, view: View, reply: Callable[[str], None]) -> None:
+        """Take a view that an operator orders, whatever was lost; `reply` gets why not, or "" once it is durable."""
+        reason = self._why_not_forced(view)
+        if reason:
+            reply(reason)
+            return
+        self._record.amnesiac = False
+        self._accept(view)
+        self.persist(lambda: reply(""))
+
+    def _why_not_forced(self, view: View) -> str:
+        member = member_of(view, self._env.name)
+        if member is None or member.disk_id != self._env.me.disk_id:
+            return REASON_NOT_NAMED
+        if self._bound_by_lease():
+            return REASON_LEASE
+        return REASON_EPOCH if view.epoch <= self._record.promised else ""
+
+    def hears_primary(self) -> bool:
+        """Whether a lease given may still run."""
+        return self._bound_by_lease()
+
     # ---- amnesia
 
     def epoch_reply(self) -> EpochReply:
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -169,6 +169,44 @@
     ballot: int = 0  # highest promised
 
 
+class RecoveryQuery(Struct):
+    """An operator's tool asks a counted node what it knows, before a recovery by hand."""
+
+    name: str = ""  # of the node meant; empty: whoever is at the address
+
+
+class RecoveryState(Struct):
+    """Answer to `RecoveryQuery`."""
+
+    name: str = ""
+    address: str = ""
+    zone: str = ""
+    region: str = ""
+    disk_id: int = 0
+    promised: int = 0
+    accepted: View | None = None  # of the highest epoch accepted
+    decided: View | None = None  # the newest known to be decided
+    amnesiac: bool = False
+    leads: bool = False
+    hears_primary: bool = False  # or did so within the last lease
+    term: int = 0  # of the last entry held
+    sequence: int = 0  # of the last entry held
+
+
+class RecoveryOrder(Struct):
+    """Recovery by hand: take this view, which no quorum decided."""
+
+    view: View
+
+
+class RecoveryAnswer(Struct):
+    """Answer to `RecoveryOrder`."""
+
+    granted: bool = False
+    name: str = ""
+    reason: str = ""  # why it is not granted
+
+
 class Write(Struct):
     """One key's new value in replicated state; `deleted` removes the key."""
 
