Search whole replicas under an adversary; mend two ways in which nobody ever led again

Change: `pipitledge experiment replicas` plays the shipped replicas whole, in groups of 3 to 8 members, with spares, large values and foundings. The adversary kills, wipes, freezes, reboots and stops, cuts and heals, holds messages and lets them through later, loses chosen ones with a link, doubles and reorders; plans of several steps keep two quorums' answers apart; pairs seldom played come first.

--- a/pipitledge/cli/experiment.py
+++ b/pipitledge/cli/experiment.py
@@ -115,6 +115,40 @@
     return SUCCESS
 
 
+@app.command
+def replicas(
+    *,
+    first: NotNegative = 0,
+    count: Positive = 40,
+    jobs: Positive | None = None,
+    steps: Positive = 30,
+) -> int:
+    """Play whole replicas under an adversary that kills, cuts, holds, doubles, loses and reorders; groups of all sizes.
+
+    Parameters
+    ----------
+    first:
+        Seed of the first run.
+    count:
+        Runs of each group; their seeds follow each other.
+    jobs:
+        Processes that play them; by default one for each core.
+    steps:
+        Actions of the adversary in a run.
+    """
+    from pipitledge.emulator.cluster.replica_search import GROUPS, play_all
+
+    seeds = range(first, first + count)
+    findings = 0
+    for group in GROUPS:
+        broken = [result for result in play_all(group, seeds, steps, jobs or os.cpu_count() or 1) if result.finding]
+        for result in broken:
+            print(f"  {result.finding}", flush=True)
+        findings += len(broken)
+        print(f"{group}: {count} runs, {len(broken)} with something broken", flush=True)
+    return FAILED if findings else SUCCESS
+
+
 @app.command
 def history(file: Path) -> int:
     """Check a recorded history of orders and reads of the configuration.
--- a/pipitledge/emulator/cluster/virtual.py
+++ b/pipitledge/emulator/cluster/virtual.py
@@ -171,8 +171,8 @@
         """How long the next message takes."""
         return self.delay + self.jitter * self.world.random.random() + self.extra_delay.get(pair, 0.0)
 
-    def carry(self, sender: Machine, receiver: Machine, action: Action) -> None:
-        """Run `action` when bytes of a connection arrive; a cut holds them up."""
+    def carry(self, sender: Machine, receiver: Machine, action: Action, message: Struct | None = None) -> None:
+        """Run `action` when bytes of a connection arrive, those of `message` if they are one; a cut holds them up."""
         pair = (sender.name, receiver.name)
         self.world.after(self.latency(pair), lambda: self._arrive(pair, action))
 
@@ -182,8 +182,8 @@
         else:
             action()
 
-    def throw(self, sender: Machine, receiver: Machine, action: Action) -> None:
-        """Run `action` when a datagram arrives; cuts and bad luck lose it."""
+    def throw(self, sender: Machine, receiver: Machine, action: Action, message: Struct | None = None) -> None:
+        """Run `action` when a datagram arrives, which holds `message`; cuts and bad luck lose it."""
         pair = (sender.name, receiver.name)
         if pair not in self.cuts and self.world.random.random() >= self.datagram_loss:
             self.world.after(self.latency(pair), action)
@@ -345,7 +345,7 @@
         receiver = self._fabric.by_address.get(address)
         if receiver is not None:
             message = copied(request)
-            self._fabric.carry(self._process.machine, receiver, lambda: _arrive(call, receiver, message))
+            self._fabric.carry(self._process.machine, receiver, lambda: _arrive(call, receiver, message), message)
 
     def datagram(self, address: str, message: Struct) -> None:
         """Send once; an address that is none is an error, as it is on sockets."""
@@ -355,7 +355,7 @@
         if receiver is None:
             return
         copy = copied(message)
-        self._fabric.throw(self._process.machine, receiver, lambda: _take_datagram(receiver, copy))
+        self._fabric.throw(self._process.machine, receiver, lambda: _take_datagram(receiver, copy), copy)
 
 
 class _Call:
@@ -385,7 +385,7 @@
     def reply(answer: Struct) -> None:
         copy = copied(answer)
         if process.alive:
-            fabric.carry(receiver, call.caller.machine, lambda: call.answer(copy))
+            fabric.carry(receiver, call.caller.machine, lambda: call.answer(copy), copy)
 
     def handle() -> None:
         if not process.handlers.call(message, reply):
--- a/pipitledge/replication/election.py
+++ b/pipitledge/replication/election.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from pipitledge.replication.environment import Environment
+from pipitledge.replication.inquiry import ViewInquiry
 from pipitledge.replication.quorum import holds_state, member_of
 from pipitledge.replication.timing import (
     ELECTION_MARGIN_SECONDS,
@@ -14,6 +15,7 @@
     RETRY_LIMIT_SECONDS,
     RETRY_SECONDS,
     SUCCESSION_STEP_SECONDS,
+    UNHEARD_SECONDS,
 )
 from pipitledge.replication.witness import GRANTED_LEAVING, Witness
 from pipitledge.wire.messages import Promise, View
@@ -26,12 +28,18 @@
     """Watches for the primary, and calls `propose` when it is this node's turn to take its place."""
 
     def __init__(
-        self, env: Environment, witness: Witness, latest: Callable[[], View | None], propose: Callable[[], None]
+        self,
+        env: Environment,
+        witness: Witness,
+        latest: Callable[[], View | None],
+        inquiry: ViewInquiry,
+        propose: Callable[[], None],
     ) -> None:
         """`latest` gives the view of the highest epoch known, decided or not."""
         self._env = env
         self._witness = witness
         self._latest = latest
+        self._inquiry = inquiry
         self._propose = propose
         self._heard_at = env.clock.now()
         self._lease_seconds = LEASE_PROMISED_SECONDS
@@ -66,12 +74,11 @@
         self.hold_off(self._env.random.uniform(RETRY_SECONDS, longest))
 
     def eligible(self) -> bool:
-        """Whether this node may lead, so far as it knows."""
-        view = self._latest()
-        return not self.retired and not self._witness.amnesiac and holds_state(view, self._env.name, self._disk_id())
-
-    def _disk_id(self) -> int:
-        return self._env.me.disk_id
+        """Whether this node may lead, so far as it knows, or by a later view that another member told of."""
+        if self.retired or self._witness.amnesiac:
+            return False
+        views = (self._latest(), self._inquiry.heard)
+        return any(holds_state(view, self._env.name, self._env.me.disk_id) for view in views)
 
     def _tick(self) -> None:
         self._tick_once()
@@ -81,7 +88,11 @@
         self._env.clock.at(now + max(wait, LEAST_WAIT_SECONDS), self._tick)
 
     def _tick_once(self) -> None:
-        if self.eligible() and self._env.clock.now() >= self._due():
+        now = self._env.clock.now()
+        if not self.eligible():
+            if now - self._heard_at > UNHEARD_SECONDS and not self._witness.amnesiac:
+                self._inquiry.ask()
+        elif now >= self._due():
             self._propose()
 
     def _due(self) -> float:
--- a/pipitledge/replication/replica.py
+++ b/pipitledge/replication/replica.py
@@ -20,10 +20,11 @@
     InitialOutcome,
     next_ballot,
 )
+from pipitledge.replication.inquiry import ViewInquiry
 from pipitledge.replication.interface import PrimaryService
 from pipitledge.replication.primary import RELEASED, Primary, PrimaryOwner
 from pipitledge.replication.proposal import Derive, Outcome, Proposal
-from pipitledge.replication.quorum import Tolerance, holds_state
+from pipitledge.replication.quorum import Tolerance, holds_state, member_of
 from pipitledge.replication.records import EpochRecord, InitialMembersRecord, RecoveredDisk, decode_epochs
 from pipitledge.replication.store import Store
 from pipitledge.replication.timing import ABDICATION_SECONDS, FOUNDING_GRACE_SECONDS, PROMISE_GRACE_SECONDS
@@ -95,9 +96,9 @@
         self._primary: Primary | None = None
         self._proposing = False
         self._highest_epoch = 0  # that any node told of
-        self._first_view_heard: View | None = None  # accepted by another node; decided or not
         self._backup = Backup(self._env, self._witness, self._store, self._known_view, self._on_primary_heard)
-        self._election = Election(self._env, self._witness, self._latest, self._propose_takeover)
+        self._inquiry = ViewInquiry(self._env, self._latest)
+        self._election = Election(self._env, self._witness, self._latest, self._inquiry, self._propose_takeover)
         self._amnesia = AmnesiaRecovery(self._env, self._witness, self._latest, lambda: self.view)
         self._founding = Founding(self._env, self._is_founded, may_found, self._propose_founding)
 
@@ -200,7 +201,7 @@
         """The view of the highest epoch that this node knows or has accepted; at the founding, that it heard of."""
         self._learn_from_membership()
         views = [view for view in (self._view, self._witness.accepted) if view is not None]
-        return max(views, key=lambda view: view.epoch, default=self._first_view_heard)
+        return max(views, key=lambda view: view.epoch, default=self._inquiry.heard)
 
     def _learn_from_membership(self) -> None:
         view = self._env.membership.view
@@ -239,7 +240,7 @@
         if self._proposing:
             return
         if self._initial_members:
-            self._propose_first_view(View(members=self._initial_members))
+            self._propose_first_view()
             return
         self._proposing = True
         ballot = next_ballot(self._highest_ballot, self._env.name)
@@ -253,12 +254,14 @@
         self._initial_members = outcome.members
         names = [member.name for member in outcome.members]
         self._env.log.info("initial_members", decided=",".join(names), highest=self._highest_ballot)
-        if self._env.name in names:
-            self._propose_first_view(View(members=outcome.members))
-        else:
-            self._founding.failed()
+        self._propose_first_view()
 
-    def _propose_first_view(self, start: View) -> None:
+    def _propose_first_view(self) -> None:
+        """Propose the first view if the members are decided and this node is one; else leave it to those that are."""
+        start = View(members=self._initial_members)
+        if member_of(start, self._env.name) is None:
+            self._founding.failed()
+            return
         epoch = next_founding_epoch(max(self._witness.promised, self._highest_epoch), self._env.name)
         derive = partial(founding_view, self._env, epoch, start)
         self._propose(epoch, start, derive, self._founding.failed, FOUNDING_GRACE_SECONDS)
@@ -281,7 +284,7 @@
         self._proposing = False
         self._highest_epoch = max(self._highest_epoch, outcome.highest_epoch)
         if outcome.decided is None:
-            self._first_view_heard = outcome.latest or self._first_view_heard
+            self._inquiry.note(outcome.latest)
             self._env.log.info("not_elected", reason=outcome.reason, highest=outcome.highest_epoch)
             on_failed()
             return
--- a/pipitledge/replication/timing.py
+++ b/pipitledge/replication/timing.py
@@ -15,6 +15,8 @@
 SUCCESSION_STEP_SECONDS = 0.15  # each further successor waits that much longer
 RETRY_SECONDS = 0.15  # shortest wait before another proposal
 RETRY_LIMIT_SECONDS = 1.2
+UNHEARD_SECONDS = 2.0  # a node that may not lead, and hears no primary for that long, asks the others for views
+INQUIRY_SECONDS = 1.0  # between two rounds of these questions
 ABDICATION_SECONDS = 3.0  # a primary that stepped aside for its disk does not propose itself that long
 
 DOUBT_SECONDS = 0.3  # a backup whose heartbeats are not answered that long is asked over TCP
--- /dev/null
+++ b/tests/system/replica_bugs.py
@@ -0,0 +1,180 @@
+"""Bugs put into the shipped replicas, each of which a drawn run under the adversary has to find."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from msgspec.structs import replace
+
+from pipitledge.emulator.cluster.replica_faults import GroupSize
+from pipitledge.replication import amnesia, election, initial_members, primary, quorum, target_view
+from pipitledge.replication.backup import Backup
+from pipitledge.replication.primary import Primary
+from pipitledge.replication.proposal import Proposal
+from pipitledge.replication.stream import BackupStream
+from pipitledge.replication.witness import Witness
+from pipitledge.wire.messages import Accepted, Append, Member, Propose, View
+
+Patches = list[AbstractContextManager[Any]]
+
+THREE = GroupSize(3, 1, 0)
+THREE_AND_SPARE = GroupSize(3, 1, 1)
+FOUR = GroupSize(4, 1, 0)
+FIVE_AND_SPARE = GroupSize(5, 2, 1)
+
+
+@dataclass(frozen=True)
+class Bug:
+    """A guard taken out, and the drawn run that shows it."""
+
+    name: str
+    patches: Callable[[], Patches]
+    size: GroupSize = THREE
+    seed: int | None = None  # None: not found
+    steps: int = 40
+    founding: bool = False
+
+
+def _method(owner: Any, name: str, replacement: Any) -> Callable[[], Patches]:
+    return lambda: [mock.patch.object(owner, name, replacement)]
+
+
+def _forgets(self: Witness, on_durable: Callable[[], None]) -> None:
+    on_durable()
+
+
+def _votes_at_once(self: amnesia.AmnesiaRecovery) -> None:
+    self._witness.recover([], lambda: None)
+
+
+def _accepts_anything(self: Witness, message: Propose, reply: Callable[[Accepted], None]) -> None:
+    self._accept(message.view)
+    self.grant_lease(message.view.primary)
+    self.persist(lambda: reply(Accepted(granted=True, epoch=message.view.epoch, name=self._env.name)))
+
+
+def _half(members: list[Member], names: Collection[str]) -> bool:
+    return 2 * sum(member.name in names for member in members) >= len(members)
+
+
+def _in_set(view: View | None, name: str, _disk_id: int) -> bool:
+    return view is not None and name in view.in_sync
+
+
+def _without_joint_view(*arguments: Any) -> View:
+    return replace(_TARGET(*arguments), previous=[])
+
+
+_TARGET = target_view.target_view
+_WITNESS_INIT = Witness.__init__
+_COUNT_ON = Primary._count_on
+_ON_APPEND = Backup.on_append
+_MAJORITY = initial_members.is_majority_of_seeds
+
+
+def _not_quiet(self: Witness, env: Any, record: Any, _restarted: bool) -> None:
+    _WITNESS_INIT(self, env, record, False)
+
+
+def _count_on_the_view_alone(self: Primary) -> None:
+    proposed, self._proposed = self._proposed, []
+    _COUNT_ON(self)
+    self._proposed = proposed
+
+
+def _takes_any_entries(self: Backup, message: Append, reply: Any) -> None:
+    if message.entries:
+        position = self._store.position
+        message.previous_term, message.previous_sequence = position.term, position.sequence
+    _ON_APPEND(self, message, reply)
+
+
+def _at_once(self: Backup, _promise_too: bool, action: Callable[[], None]) -> None:
+    action()
+
+
+def _finish_early(self: Backup, repair: Any, reply: Any) -> None:
+    """Take a repair for complete after its first answer."""
+    if self._repair is not repair or not hasattr(reply, "granted") or not reply.granted:
+        return
+    for content in reply.contents:
+        repair.copy.replace_range(content)
+    self._finish(repair, reply)
+
+
+def _moves_the_vote_at_once(situation: Any, members: list[Member]) -> Any:
+    changed = _WITH_VOTE_MOVED(situation, members)
+    return None if changed is None else target_view._Membership(changed.members, [])
+
+
+_WITH_VOTE_MOVED = target_view._with_vote_moved
+
+
+def _taken_in_by_name(self: amnesia.AmnesiaRecovery) -> bool:
+    view = self._decided()
+    if view is None or quorum.member_of(view, self._env.name) is None:
+        return False
+    self._witness.recover([amnesia.EpochReply(promised=view.epoch, accepted=view)], self._recovered)
+    return True
+
+
+def _held_without_those_that_leave(self: Primary, member: Member) -> int:
+    stream = self._streams.get(member.name)
+    return self._own_durable if stream is not None and stream.leaving else _HELD_BY(self, member)
+
+
+_HELD_BY = Primary._held_by
+
+
+def _obeys_any_term(self: Backup, _epoch: int, _term: int, primary_name: str) -> bool:
+    return primary_name != self._env.name
+
+
+BUGS = (
+    Bug("promises are not kept", _method(Witness, "persist", _forgets)),
+    Bug("a lost disk votes at once", _method(amnesia.AmnesiaRecovery, "start", _votes_at_once)),
+    Bug(
+        "one answer gives lost promises back",
+        _method(amnesia, "meets_every_quorum", lambda _view, names: bool(names)),
+        FIVE_AND_SPARE,
+    ),
+    Bug("lower epochs are accepted", _method(Witness, "on_propose", _accepts_anything)),
+    Bug("half is a quorum", _method(quorum, "_is_majority", _half), FOUR),
+    Bug("a new disk is taken for the old", _method(election, "holds_state", _in_set)),
+    Bug("members change in one step", _method(primary, "target_view", _without_joint_view), THREE_AND_SPARE),
+    Bug("the proposer's own view is the base", _method(Proposal, "_base", lambda self: self._witness.accepted)),
+    Bug("the lease binds nobody", _method(Witness, "_bound_by_lease", lambda _self: False)),
+    Bug("a restart forgets the lease", _method(Witness, "__init__", _not_quiet)),
+    Bug("all that answer join the set", _method(election, "_stays", lambda *_: True)),
+    Bug("one that lacks entries joins the set", _method(BackupStream, "caught_up", lambda self: self.responsive())),
+    Bug("commits do not wait for a set that may follow", _method(Primary, "_count_on", _count_on_the_view_alone)),
+    Bug("entries are taken that do not follow", _method(Backup, "on_append", _takes_any_entries)),
+    Bug("entries are confirmed before they are durable", _method(Backup, "_when_durable", _at_once)),
+    Bug("a primary of an older term is obeyed", _method(Backup, "_obeys", _obeys_any_term)),
+    Bug(
+        "a repair ends with its first answer",
+        _method(Backup, "_on_reply", _finish_early),
+        GroupSize(3, 1, value_bytes=200_000),
+    ),
+    Bug("an answer of another term renews the lease", _method(Primary, "_sent_in_office", lambda *_: True)),
+    Bug(
+        "commits do not wait for a backup that leaves",
+        _method(Primary, "_held_by", _held_without_those_that_leave),
+    ),
+    Bug("the second vote moves in one step", _method(target_view, "_with_vote_moved", _moves_the_vote_at_once), FOUR),
+    Bug(
+        "a view that names the old disk gives the vote back",
+        _method(amnesia.AmnesiaRecovery, "_taken_in", _taken_in_by_name),
+    ),
+    Bug(
+        "a minority of the seeds decides who founds",
+        _method(initial_members, "is_majority_of_seeds", lambda answers, _seeds: bool(answers)),
+        GroupSize(7, 1, 0),
+        founding=True,
+        steps=15,
+    ),
+)
--- a/tests/system/test_control_members.py
+++ b/tests/system/test_control_members.py
@@ -5,12 +5,37 @@
 import itertools
 import unittest
 
+from msgspec.structs import replace
+
+from pipitledge.replication.epochs import FIRST_ORDINARY_EPOCH
 from tests.system.replica_cluster import Client, Cluster, Invariants
+from tests.system.test_views import Probe
 
 CATCH_UP_SECONDS = 4.0
 CUT_SECONDS = 20.0
 
 
+class LostProposer(unittest.TestCase):
+    """A change of the set whose proposer is lost, and which only one outside the new set has accepted."""
+
+    def test_the_one_that_may_lead_hears_of_the_view(self) -> None:
+        cluster = Cluster(3)
+        self.assertEqual(cluster.found(), "n0")
+        cluster.await_in_sync({"n0", "n1", "n2"}, 5.0)
+        cluster.machines["n2"].kill()
+        cluster.await_in_sync({"n0", "n1"}, 5.0)
+        cluster.world.network.cut("n0", "n2")
+        cluster.start("n2")
+        cluster.world.run_for(4.0)  # by gossip n2 knows that it is out of the set
+        decided = cluster.view()
+        change = replace(decided, epoch=decided.epoch + FIRST_ORDINARY_EPOCH, in_sync=["n0", "n2"])
+        self.assertTrue(Probe(cluster).propose("n1", change).granted)
+        cluster.machines["n0"].wipe()
+        cluster.world.network.join_all()
+        cluster.start("n0")
+        self.assertEqual(cluster.await_primary(8.0), "n2")
+
+
 class Halves(unittest.TestCase):
     """Counted machines cut into two halves; all others reach both."""
 
--- a/tests/system/test_initial_members.py
+++ b/tests/system/test_initial_members.py
@@ -222,6 +222,20 @@
                 cluster.start_all()
                 cluster.await_primary(25.0)
 
+    def test_one_that_the_list_leaves_out_does_not_hold_the_others_up(self) -> None:
+        cluster = Cluster(4, machines=1)
+        cluster.seeds = ["n1", "n2", "n3"]
+        cluster.groups = {name: {"n1", "n2", "n3"} for name in cluster.seeds}
+        cluster.world.network.isolate("n0")
+        cluster.start_all(bootstrap=True)
+        decided = [cluster.replicas[name]._acceptor._record for name in cluster.seeds]
+        cluster.world.run_while(lambda: not all(record.accepted for record in decided), 5.0)
+        cluster.machines["n1"].power_off()  # before it has proposed a view
+        cluster.groups.clear()
+        cluster.world.network.join_all()
+        cluster.await_primary(20.0)
+        self.assertEqual({member.name for member in cluster.view().members} & {"n1", "n2", "n3"}, {"n1", "n2", "n3"})
+
     def test_the_founder_is_lost_for_good_once_its_view_was_accepted_by_one(self) -> None:
         """That one is not of the in-sync set, so another has to go on from a view that it only heard of."""
         cluster = Cluster(3, machines=1)
