--- a/tests/system/test_control_members.py
+++ b/tests/system/test_control_members.py
@@ -9,7 +9,7 @@
 
 from pipitledge.replication.epochs import FIRST_ORDINARY_EPOCH
 from tests.system.replica_cluster import Client, Cluster, Invariants
-from tests.system.test_views import Probe
+from tests.system.replica_probe import Probe
 
 CATCH_UP_SECONDS = 4.0
 CUT_SECONDS = 20.0
--- a/tests/system/test_forced_recovery.py
+++ b/tests/system/test_forced_recovery.py
@@ -16,7 +16,7 @@
 from pipitledge.wire import codec
 from pipitledge.wire.messages import Member, RecoveryAnswer, RecoveryOrder, RecoveryState, View
 from tests.system.replica_cluster import Client, Cluster, Invariants
-from tests.system.test_views import Probe
+from tests.system.replica_probe import Probe
 
 EPOCH = 1 << 21
 
--- a/tests/system/test_replication.py
+++ b/tests/system/test_replication.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import unittest
 
 from msgspec import Struct, structs
@@ -13,11 +12,8 @@
 from pipitledge.replication.state_map import StateMap
 from pipitledge.runtime.ports import ReplyHandler
 from pipitledge.wire.messages import Append, AppendReply, Entry, RepairReply, RepairRequest, Write
-from tests.system.fault_schedule import FaultSchedule
 from tests.system.replica_cluster import Client, Cluster, Invariants
-from tests.system.test_views import Probe
-
-SEEDS = int(os.environ.get("REPLICATION_SEEDS", "200"))
+from tests.system.replica_probe import Probe
 
 
 def entry(term: int, sequence: int, key: str = "k", value: bytes = b"v") -> Entry:
@@ -468,12 +464,5 @@
         self.assertEqual(Client(cluster).write_and_wait("n0", 2.0), False)
 
 
-class RandomFaultsTest(unittest.TestCase):
-    def test_random_schedules(self) -> None:
-        for seed in range(SEEDS):
-            with self.subTest(seed=seed):
-                FaultSchedule(seed, seconds=10.0).run()
-
-
 if __name__ == "__main__":
     unittest.main()
