--- a/tests/system/test_initial_members.py
+++ b/tests/system/test_initial_members.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from pipitledge.replication import initial_members
-from pipitledge.replication.initial_members import InitialMembersAcceptor
+from pipitledge.replication.initial_members import InitialMembersAcceptor, InitialMembersProposal
 from pipitledge.replication.records import InitialMembersRecord
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.wire.messages import (
@@ -21,6 +21,7 @@
     NodeDescriptor,
     View,
 )
+from tests.system.initial_members_search import Bounds, TwoLists, search
 from tests.system.replica_cluster import Cluster
 
 FIRST_LIST = [Member("a", "a"), Member("b", "b")]
@@ -93,6 +94,34 @@
                 self.assertEqual(promise.known, [Member("a", "a")] if bootstrap else [])
 
 
+class VotesSearchTest(unittest.TestCase):
+    """All runs of two proposers and three seeds."""
+
+    MOST = 20_000
+
+    def test_at_most_one_list_is_decided(self) -> None:
+        states, whole = search(Bounds(restarts=0), self.MOST)
+        self.assertTrue(whole)
+        self.assertGreater(states, 1_000)
+
+    def test_two_are_without_the_majority(self) -> None:
+        with (
+            mock.patch.object(initial_members, "is_majority_of_seeds", lambda answers, _seeds: bool(answers)),
+            self.assertRaises(TwoLists),
+        ):
+            search(Bounds(restarts=0), self.MOST)
+
+    def test_two_are_where_a_later_ballot_does_not_take_the_list_over(self) -> None:
+        def own_list(proposal: InitialMembersProposal) -> list[Member]:
+            return proposal._members
+
+        with (
+            mock.patch.object(InitialMembersProposal, "_list_to_propose", own_list),
+            self.assertRaises(TwoLists),
+        ):
+            search(Bounds(restarts=0), self.MOST)
+
+
 class Known:
     """Membership that has heard of one node of the first start, and of one that came later."""
 
