Hand in no job at a process that died while the client connected

Cause: in the rig of real processes a client dialled, the node was killed before the client's task went on, and the job was handed in over the dead connection: it was written down as taken after the kill, so the audit missed its final answer. Change: a client looks at the number of the node's process before it hands in, and leaves connections of a former one.

--- a/pipitledge/emulator/fleet.py
+++ b/pipitledge/emulator/fleet.py
@@ -347,7 +347,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.lines: list[str] = []
         self.paused = False
-        self.starts = 0
+        self.starts = self.kills = 0
         self.leased = False
         self.waiters: list[Task] = []
         self.client = self.listen
@@ -433,6 +433,7 @@
         if self.process is not None and self.process.poll() is None:
             self.process.kill()
             self.process.wait()
+            self.kills += 1
         self.paused = False
 
     def pause(self) -> None:
@@ -448,6 +449,10 @@
             self.process.send_signal(signal.SIGCONT)
         self.paused = False
 
+    def life(self) -> int:
+        """A number that changes when its process is killed."""
+        return self.kills
+
     @property
     def runs(self) -> bool:
         """Whether its process is there and awake."""
@@ -758,7 +763,8 @@
             kinds: list[Kind] = site.kinds()
             model = Clients(settings_from(site.stated()), kinds, self.seed * 100 + number)
             model._count = number * 1_000_000
-            load = LoadClients(self.scheduler, self.clock, model, self.nodes[name].client, self.audit)
+            node = self.nodes[name]
+            load = LoadClients(self.scheduler, self.clock, model, node.client, self.audit, node.life)
             self.loads.append(load)
 
             def arrivals(load: LoadClients = load) -> None:
--- a/pipitledge/emulator/servers.py
+++ b/pipitledge/emulator/servers.py
@@ -363,10 +363,19 @@
 class LoadClients:
     """Clients on sockets: open arrivals, kept connections, patience, retries."""
 
-    def __init__(self, scheduler: Scheduler, clock: Clock, model: Clients, node: Address, audit: Audit) -> None:
-        """Talk to one node."""
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        clock: Clock,
+        model: Clients,
+        node: Address,
+        audit: Audit,
+        life: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Talk to one node; `life` numbers its processes, so that none is handed in over a former one's connection."""
         self.scheduler, self.clock, self.model, self.node, self.audit = scheduler, clock, model, node, audit
-        self.idle: list[Stream] = []
+        self.life = life
+        self.idle: list[tuple[int, Stream]] = []  # with the number of the process that it is connected to
         self.open = 0
         self.took: dict[int, list[float]] = {kind.job_class: [] for kind in model.kinds}
         self.in_time, self.asked, self.heard = Counter[int](), Counter[int](), Counter[tuple[int, str]]()
@@ -406,14 +415,17 @@
             f"Idempotency-Key: {wanted.key}\r\nRequest-Timeout-Ms: {max(1, math.floor(patience))}\r\n"
             f"Request-Info: slots={wanted.slots:g}\r\nContent-Length: {len(body)}\r\n\r\n"
         ).encode()
-        stream = self.idle.pop() if self.idle else None
+        life, stream = self.idle.pop() if self.idle else (self.life(), None)
         try:
-            if stream is None or not stream.is_quiet():
+            if stream is None or not stream.is_quiet() or life != self.life():
                 if stream is not None:
                     stream.close()
-                stream = Stream(self.scheduler, socket.socket(), ReceiveBuffer(most=96 * 1024))
+                life, stream = self.life(), Stream(self.scheduler, socket.socket(), ReceiveBuffer(most=96 * 1024))
                 if not stream.dial(self.node, now + 1_000.0):
                     return "unreached", 0.0
+                if life != self.life():  # it died between the connection and now: nothing is handed in
+                    stream.close()
+                    return "unreached", 0.0
             self.audit.taken(wanted.id, wanted.kind.job_class, wanted.key, now, patience)
             stream.write([head, body], until)
             answer = read_answer(stream, until + 100.0)
@@ -437,7 +449,7 @@
             self.in_time[wanted.kind.job_class] += took <= cls.objective_ms + cls.stretch * wanted.work_ms
         assert stream is not None
         if answer.keeps_alive:
-            self.idle.append(stream)
+            self.idle.append((life, stream))
         else:
             stream.close()
         return heard, answer.retry_after_ms
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -17,7 +17,7 @@
 from pipitledge.emulator.client import Clients
 from pipitledge.emulator.discovery import KEPT, Discovery, row
 from pipitledge.emulator.faults import Fault, Faults
-from pipitledge.emulator.servers import DiscoveryServer, WorkerServer, listener, read_answer
+from pipitledge.emulator.servers import DiscoveryServer, LoadClients, WorkerServer, listener, read_answer
 from pipitledge.emulator.worker import Job, Machine, Rack, Worker
 from pipitledge.net.scheduler import Scheduler
 from pipitledge.net.stream import Stream
@@ -259,3 +259,18 @@
         assert bench.ask(server.address, "GET /api/targets HTTP/1.1") == 200
 
     bench.run(task)
+
+
+def test_a_client_hands_nothing_in_at_a_process_that_died_as_it_connected() -> None:
+    clock = Clock()
+    scheduler = Scheduler(Timers(clock.now), pytest.fail)
+    audit, model = Audit(STANDARD), Clients(STANDARD, site.kinds(), seed=1)
+    lives = iter([0, 0, 1])  # before the connection, and after it
+    with listener(("127.0.0.1", 0)) as door:
+        load = LoadClients(scheduler, clock, model, door.getsockname(), audit, lambda: next(lives))
+        wanted = model.arrive(clock.now())
+        scheduler.spawn(lambda: load.ask(wanted))
+        while not load.heard:
+            scheduler.turn(20.0)
+    assert load.heard == {(wanted.kind.job_class, "unreached"): 1}
+    assert audit.breaches() == [] and not audit.jobs
