Load in an agent only what it uses

Cause: 62 agents of 20 MB are seven tenths of the memory priced on the new site; each loaded the dispatcher's decisions by the package's own import, and the nodes' planes by the status and HTTP fronts. Change: Policy and Settings load when first asked for; members_section and the worker's front stand apart from the rest.

--- a/pipitledge/__init__.py
+++ b/pipitledge/__init__.py
@@ -1,7 +1,28 @@
-"""pipitledge: the decisions of a dispatcher that pushes jobs to workers."""
+"""pipitledge: a cluster scheduler for jobs, and the decisions of a dispatcher that pushes jobs to workers.
 
-from pipitledge.decision.interface import Settings
-from pipitledge.decision.policy import Policy
+`Policy` and `Settings` are loaded when they are first asked for: the scheduler's programs need neither.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pipitledge.decision.interface import Settings
+    from pipitledge.decision.policy import Policy
 
 __all__ = ["Policy", "Settings", "__version__"]
 __version__ = "0.3.0"
+
+
+def __getattr__(name: str) -> object:
+    """Load a name of the library when it is first asked for."""
+    if name == "Policy":
+        from pipitledge.decision.policy import Policy
+
+        return Policy
+    if name == "Settings":
+        from pipitledge.decision.interface import Settings
+
+        return Settings
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/pipitledge/ingress/control_front.py
+++ b/pipitledge/ingress/control_front.py
@@ -11,9 +11,8 @@
 from pipitledge.membership.primary_caller import Outcome
 from pipitledge.runtime.logs import EventLog
 from pipitledge.wire.messages import OperatorCall, OperatorReply
+from pipitledge.wire.paths import CONFIGURATION_PATH, INSTANCES_PREFIX
 
-CONFIGURATION_PATH = "/pipitledge/config"
-INSTANCES_PREFIX = "/pipitledge/instances/"
 METHODS = ("GET", "PUT", "PATCH")
 PATIENCE_SECONDS = 0.85  # callers move on after a second of silence; an answer that comes before that is heard
 MOST_CALLS = 32  # in progress at once; operators have eight at most
--- a/pipitledge/programs/agent.py
+++ b/pipitledge/programs/agent.py
@@ -7,7 +7,7 @@
 from pipitledge.agent.agent import Agent, AgentIdentity
 from pipitledge.membership.primary_caller import PrimaryCaller
 from pipitledge.programs.core import Core, prepare_process, wait_for_settings
-from pipitledge.programs.fronts import worker_front
+from pipitledge.programs.worker_front import worker_front
 from pipitledge.runtime import logs
 from pipitledge.runtime.http_server import ServerOptions
 from pipitledge.runtime.worker_calls import HttpWorkerCalls
--- a/pipitledge/programs/control.py
+++ b/pipitledge/programs/control.py
@@ -9,7 +9,7 @@
 from pipitledge.membership.founding_gate import FoundingGate
 from pipitledge.membership.membership import internal_addresses
 from pipitledge.programs.core import Core
-from pipitledge.programs.status import jobs_section, keeper_section, queues_section, workers_section
+from pipitledge.programs.node_status import jobs_section, keeper_section, queues_section, workers_section
 from pipitledge.replication.interface import PrimaryService
 from pipitledge.replication.quorum import Tolerance
 from pipitledge.replication.replica import Replica
--- a/pipitledge/programs/fronts.py
+++ b/pipitledge/programs/fronts.py
@@ -5,16 +5,14 @@
 import math
 from http import HTTPStatus
 
-from pipitledge.agent.agent import Agent
-from pipitledge.ingress.control_front import INSTANCES_PREFIX, ControlFront
+from pipitledge.ingress.control_front import ControlFront
 from pipitledge.ingress.ingress import Ingress
 from pipitledge.ingress.readiness import Readiness
+from pipitledge.programs.rejections import NO_SUCH_PATH, WRONG_METHOD
 from pipitledge.runtime.http_types import HttpHandler, HttpRequest, HttpResponse, Respond
+from pipitledge.wire.paths import READY_PATH
 
-READY_PATH = "/pipitledge/ready"
 MS_PER_SECOND = 1000
-NO_SUCH_PATH = HttpResponse(HTTPStatus.NOT_FOUND, b'{"error":"no such path"}')
-WRONG_METHOD = HttpResponse(HTTPStatus.METHOD_NOT_ALLOWED, b'{"error":"method not allowed"}')
 READY = HttpResponse(HTTPStatus.OK, b'{"ready":true}')
 UNREADY = HttpResponse(HTTPStatus.SERVICE_UNAVAILABLE, b'{"ready":false}')
 
@@ -58,26 +56,6 @@
     return handle
 
 
-def worker_front(agent: Agent) -> HttpHandler:
-    """The worker's heartbeats, at an agent's `controlPlane` address."""
-
-    def handle(request: HttpRequest, respond: Respond) -> None:
-        def answer(status: int, body: bytes) -> None:
-            respond(HttpResponse(status, body))
-
-        instance = request.path.removeprefix(INSTANCES_PREFIX)
-        if instance == request.path or not instance or "/" in instance:
-            respond(NO_SUCH_PATH)
-        elif request.method == "PUT":
-            agent.heartbeat(instance, request.body, answer)
-        elif request.method == "DELETE":
-            agent.leave(instance, answer)
-        else:
-            respond(WRONG_METHOD)
-
-    return handle
-
-
 def _deadline_ms(request: HttpRequest) -> float | None:
     """How long the client waits; None if it doesn't say so in a way that can be read."""
     try:
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -16,7 +16,7 @@
 from pipitledge.programs.control import ControlState, build_control_state
 from pipitledge.programs.core import Core, prepare_process, wait_for_settings
 from pipitledge.programs.fronts import client_front, operator_front, readiness_front
-from pipitledge.programs.status import data_plane_section
+from pipitledge.programs.node_status import data_plane_section
 from pipitledge.replication.initial_members import register_diskless_seed
 from pipitledge.runtime import logs
 from pipitledge.runtime.http_server import HttpServer, ServerOptions
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -16,7 +16,8 @@
 from pipitledge.ingress.readiness import Readiness
 from pipitledge.membership.founding_gate import FOUNDING_PATIENCE_SECONDS, FoundingGate
 from pipitledge.membership.membership import Membership
-from pipitledge.programs.fronts import client_front, operator_front, readiness_front, worker_front
+from pipitledge.programs.fronts import client_front, operator_front, readiness_front
+from pipitledge.programs.worker_front import worker_front
 from pipitledge.runtime.http_types import HttpHandler, HttpRequest, HttpResponse
 from pipitledge.runtime.ports import Clock
 
