Wait for a worker's answers and ends as long as they usually take, and hold tasks by need

Cause: on the new site 6.5 % of the orders go unanswered for a while. An agent waited 0.6 s for a start's answer, longer than the task takes; a lost poll hid all ends for up to 3 s, then blocked all starts until a hold was answered. Runs of a worker gone dark kept their tasks for 5 s. Change: time-outs from the answer times seen (RFC 6298, floor 0.15 s); polls wait twice the usual time until an end; one lost call is no silence, two in a row are, told at once; holds last three polls, or half the age of the oldest run.

--- a/pipitledge/agent/agent.py
+++ b/pipitledge/agent/agent.py
@@ -275,9 +275,10 @@
 
     def _tell_silence(self) -> None:
         life = self._lives.current
-        silent = life if life is not None and life.silent_since is not None else None
+        silent = life if life is not None and life.silent else None
         if silent is not None and silent is not self._silent_life:
             self._log.warning("worker_silent", instance=silent.instance)
+        if silent is not self._silent_life:
             self._reporter.soon()
         self._silent_life = silent
 
--- a/pipitledge/agent/holder.py
+++ b/pipitledge/agent/holder.py
@@ -22,24 +22,28 @@
 
 from pipitledge.agent.life import Life, Lives
 from pipitledge.agent.permit import Permit
+from pipitledge.agent.poll_pace import SHORTEST_WAIT_S, PollPace
 from pipitledge.agent.worker_clock import MS_PER_S, SLOWEST_RATE
-from pipitledge.agent.worker_line import CONFLICT, OK, OTHER_LIFE, WorkerLine, WorkerReply
+from pipitledge.agent.worker_line import CONFLICT, NO_ANSWER, OK, OTHER_LIFE, WorkerLine, WorkerReply
 from pipitledge.agent.worker_messages import HOLD_PATH, LONGEST_ENDS_LIST, FinishedEntry, HoldAnswer, HoldBody
 from pipitledge.runtime.ports import Clock, Timer
 from pipitledge.wire.messages import FinishedTask, RunningTask
 
-LONGEST_WAIT_S = 2.0  # a worker waits no longer for an end
-SHORTEST_WAIT_S = 0.2
 WAIT_SHARE = 0.4  # of the time left until the deadline; then it is renewed
-ANSWER_TIMEOUT_S = 1.0  # beyond the wait
 LEAST_GAIN_S = 0.25  # a renewal that moves the deadline by less isn't worth a call
 URGENT_S = 0.75  # a deadline this near is renewed beside the poll
 URGENT_SHARE = 0.15  # of the time held, where that is shorter; two polls fit in before (see `WAIT_SHARE`)
 POLL_INTERVAL_S = 0.1  # ends that come close together share a poll; the primary may want another figure
 ACKNOWLEDGEMENT_PATIENCE_S = 1.0  # ends that are not acknowledged would answer each poll at once
-FIRST_PAUSE_S = 0.5  # after a call that failed
-LONGEST_PAUSE_S = 2.0
+FIRST_PAUSE_S = 0.5  # after a call that was refused
 PAUSE_GROWTH = 1.5
+FIRST_SILENCE_PAUSE_S = 0.02  # after one that got no answer
+SILENCE_PAUSE_GROWTH = 2.5
+LONGEST_PAUSE_S = 2.0
+SILENT_AFTER_FAILURES = 2  # a single call may be lost on its way
+SHORTEST_HOLD_S = 1.5
+HOLD_WAITS = 3.0  # times what a poll waits that tasks are held: none lapses because one poll was lost
+HOLD_AGE_PART = 0.5  # of its age that the oldest run is held: the more would be lost, the longer
 LAPSE_CHECK_S = 0.01  # after a lapse, it is told of
 MISSED_HEARTBEATS = 3  # a worker silent in all ways for so many is left alone once its tasks have lapsed
 
@@ -75,9 +79,14 @@
     number: int
     fence: int
     sent_at: float
-    poll: bool
+    wait_s: float  # for an end; 0: a look or a renewal
     until: float | None  # end of holding that it gives (agent's clock)
 
+    @property
+    def poll(self) -> bool:
+        """Whether it is answered at the next end."""
+        return self.wait_s > 0.0
+
 
 class Holder:
     """Holds for the present life of the worker."""
@@ -124,6 +133,8 @@
         self._confirming = 0
         self._poll: _HoldCall | None = None
         self._quick: _HoldCall | None = None
+        self._pace = PollPace()
+        self._running_since: dict[RunKey, float] = {}  # when a list showed it first
         self._held_until = 0.0  # that the worker confirmed
         self._held_from = 0.0
         self._latest_until = 0.0  # that the worker may have been given
@@ -217,8 +228,10 @@
         return self._clock.now() <= self._earlier_holds_until
 
     def is_silent(self) -> bool:
-        """Whether the last hold failed: then nothing is given to the worker that would prolong its holds."""
-        return self._failures > 0
+        """Whether the last holds failed: then nothing is given to the worker that would prolong its holds."""
+        if self._failures >= SILENT_AFTER_FAILURES:
+            return True
+        return self._life is not None and self._life.silent and not self._life.refuses
 
     def lapsed(self) -> bool:
         """Whether the worker leaves calls unanswered, and all that it may have held has lapsed."""
@@ -241,6 +254,7 @@
             self._on_change(HoldChange.LEFT)
             return
         now = self._clock.now()
+        self._permit.prefer(self._hold_s(now))
         if now >= self._retry_at and not self.gave_up():
             self._send_due(life)
         self._set_timer(self._next_time())
@@ -295,15 +309,27 @@
         """How long a poll may wait, so that the deadline is renewed in time."""
         until = self._permit.until()
         if until is None or self._gain() < LEAST_GAIN_S:
-            return LONGEST_WAIT_S
-        return min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, WAIT_SHARE * (until - self._clock.now())))
+            return self._pace.wait_s
+        return min(self._pace.wait_s, max(SHORTEST_WAIT_S, WAIT_SHARE * (until - self._clock.now())))
+
+    def _hold_s(self, now: float) -> float:
+        """How far ahead tasks are held: a worker that falls silent keeps them from others for so long."""
+        oldest_s = max((now - since for since in self._running_since.values()), default=0.0)
+        return max(SHORTEST_HOLD_S, HOLD_WAITS * self._pace.wait_s, HOLD_AGE_PART * oldest_s)
 
     def _next_time(self) -> float | None:
         """When something may become due by time alone."""
         now = self._clock.now()
+        call_at = self._next_call_at(now)
+        lapse_at = self._lapse_at() + LAPSE_CHECK_S
+        if not self.is_silent() or lapse_at <= now:
+            return call_at
+        return lapse_at if call_at is None else min(call_at, lapse_at)
+
+    def _next_call_at(self, now: float) -> float | None:
+        """When a call may become due by time alone."""
         if now < self._retry_at:
-            lapse_at = self._lapse_at() + LAPSE_CHECK_S
-            return lapse_at if now < lapse_at < self._retry_at else self._retry_at
+            return self._retry_at
         if not self.may_run() or self.gave_up():
             return None
         times = [] if self._poll or self._quick else [self._poll_at()]
@@ -318,7 +344,11 @@
             self._timer = None
             return
         # a clock that is read a trifle early must not make this spin
-        self._timer = self._clock.at(max(when, self._clock.now() + SHORTEST_TIMER_S), self.drive)
+        self._timer = self._clock.at(max(when, self._clock.now() + SHORTEST_TIMER_S), self._due)
+
+    def _due(self) -> None:
+        """Something may have become due by time alone: a call, or to tell of a lapse."""
+        self._on_change(HoldChange.LISTS)
 
     # ---- calls and answers
 
@@ -326,7 +356,7 @@
         now = self._clock.now()
         deadline = None if self.is_silent() else self._permit.deadline(life)
         until = None if deadline is None else deadline.until
-        call = _HoldCall(life, self._next_number, self._fence, now, wait_s > 0.0, until)
+        call = _HoldCall(life, self._next_number, self._fence, now, wait_s, until)
         self._next_number += 1
         if call.poll:
             self._poll = call
@@ -341,8 +371,8 @@
             deadline_ms=None if deadline is None else deadline.worker_ms,
             wait_ms=int(wait_s * MS_PER_S),
         )
-        timeout = wait_s + ANSWER_TIMEOUT_S
-        self._line.call(life, HOLD_PATH, body, timeout, lambda reply: self._answered(call, reply))
+        timeout = wait_s + life.answer_times.timeout
+        self._line.call(life, HOLD_PATH, body, timeout, lambda reply: self._answered(call, reply), call.poll)
 
     def _answered(self, call: _HoldCall, reply: WorkerReply) -> None:
         self._follow_life()
@@ -365,11 +395,12 @@
         fenced = reply.status == CONFLICT and reply.reason == "fence"
         if call.number < self.lists.number or (fenced and call.fence < self._fence):
             return HoldChange.LISTS  # overtaken by a later call: the worker is no more silent than that one found it
-        self._pause()
+        self._pause(reply.status == NO_ANSWER)
         return HoldChange.FENCED if fenced else HoldChange.FAILED
 
-    def _pause(self) -> None:
-        pause = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * PAUSE_GROWTH**self._failures)
+    def _pause(self, unanswered: bool) -> None:
+        first, growth = (FIRST_SILENCE_PAUSE_S, SILENCE_PAUSE_GROWTH) if unanswered else (FIRST_PAUSE_S, PAUSE_GROWTH)
+        pause = min(LONGEST_PAUSE_S, first * growth**self._failures)
         self._retry_at = self._clock.now() + pause
         self._failures += 1
 
@@ -385,10 +416,28 @@
             news = news or self.lists.number < self._confirming <= call.number
             running = [entry.typed() for entry in answer.running]
             self.lists = Lists(call.number, call.fence, call.sent_at, running)
-        news = self._take_ends(answer.finished) or news
+            self._note_running(running)
+        ended = self._take_ends(answer.finished)
+        self._learn_pace(call, ended)
+        news = ended or news
         self._settle_expected(call.number)
         return HoldChange.NEWS if news else HoldChange.LISTS
 
+    def _learn_pace(self, call: _HoldCall, ended: bool) -> None:
+        """Learn from a poll's answer how long it takes until an end comes."""
+        took_s = self._clock.now() - call.sent_at
+        if call.poll and ended:
+            self._pace.ended(took_s)
+        elif call.poll and took_s >= call.wait_s:
+            self._pace.empty(call.wait_s)
+
+    def _note_running(self, running: list[RunningTask]) -> None:
+        """Take note of when each run was first shown."""
+        now = self._clock.now()
+        known = self._running_since
+        keys = [(entry.task, entry.run) for entry in running]
+        self._running_since = {key: known.get(key, now) for key in keys}
+
     def _take_ends(self, entries: list[FinishedEntry]) -> bool:
         """Keep ends until they are acknowledged; whether one of them is new."""
         known = len(self._ends)
--- a/pipitledge/agent/life.py
+++ b/pipitledge/agent/life.py
@@ -7,12 +7,14 @@
 import msgspec
 from msgspec import Struct
 
+from pipitledge.agent.answer_times import AnswerTimes
 from pipitledge.agent.worker_clock import MS_PER_S, WorkerClock
 from pipitledge.agent.worker_messages import HeartbeatBody
 from pipitledge.runtime.ports import Clock
 from pipitledge.wire.messages import WorkerInfo
 
 NOT_TOLD = -1
+SILENT_AFTER_CALLS = 2  # unanswered in a row: a single order may be lost on its way
 
 
 class Life:
@@ -27,12 +29,39 @@
         self.draining = False  # announced its end; no start may leave any more
         self.leaving = False  # said goodbye; ends about now
         self.denied = False  # a call meant for this life was answered by another one
-        self.silent_since: float | None = None  # when the first call was sent that it left unanswered
+        self.answer_times = AnswerTimes()
+        self.unanswered = 0  # calls in a row
+        self.refuses = False  # nothing listened at its address when it was called last
+        self.silent_since: float | None = None  # when the first of them was sent
         self.answered_at = heard_at
 
+    @property
+    def silent(self) -> bool:
+        """Whether it leaves calls unanswered, and not just one that may have been lost."""
+        return self.unanswered >= SILENT_AFTER_CALLS
+
     def silent_ms(self, now: float) -> int:
-        """How long it has left calls unanswered."""
-        return 0 if self.silent_since is None else int((now - self.silent_since) * MS_PER_S)
+        """How long it has been silent; 0 if it is not."""
+        if not self.silent or self.silent_since is None:
+            return 0
+        return max(1, int((now - self.silent_since) * MS_PER_S))
+
+    def call_answered(self, now: float) -> None:
+        """It answered a call, or a call to it was answered by another life."""
+        self.answered_at = now
+        self.unanswered = 0
+        self.refuses = False
+        self.silent_since = None
+
+    def call_unanswered(self, sent_at: float, now: float, refused: bool) -> None:
+        """It left a call unanswered; one that was sent before its last answer tells nothing."""
+        self.answer_times.unanswered(sent_at, now)
+        self.refuses = refused
+        if self.answered_at > sent_at:
+            return
+        self.unanswered += 1
+        if self.silent_since is None or sent_at < self.silent_since:
+            self.silent_since = sent_at
 
 
 class HeartbeatEffect(enum.Enum):
--- a/pipitledge/agent/orders.py
+++ b/pipitledge/agent/orders.py
@@ -30,10 +30,9 @@
 
 PARALLEL_CALLS = 4
 SHORTEST_TIMER_S = 0.001
-FIRST_TIMEOUT_S = 0.6
 LONGEST_TIMEOUT_S = 2.0
-TIMEOUT_GROWTH = 1.5
-SILENCE_PAUSE_S = 0.05  # before a call is repeated that got no answer
+TIMEOUT_GROWTH = 1.5  # of an order's calls, with each that got no answer
+SILENCE_PAUSE_S = 0.01  # before a call is repeated that got no answer
 REFUSAL_PAUSE_S = 0.2  # times the number of refusals so far
 LONGEST_PAUSE_S = 2.0
 FENCED_PAUSE_S = 0.5  # while the primary of the higher term is looked for
@@ -96,9 +95,9 @@
         """Whether the call that comes next has been sent already."""
         return self.stop_under_way if self.wants_stop else self.start_under_way
 
-    def timeout(self) -> float:
-        """How long the next call may take."""
-        return min(LONGEST_TIMEOUT_S, FIRST_TIMEOUT_S * TIMEOUT_GROWTH**self.silences)
+    def timeout(self, usual: float) -> float:
+        """How long the next call may take, where a first one may take the `usual` time."""
+        return min(LONGEST_TIMEOUT_S, usual * TIMEOUT_GROWTH**self.silences)
 
 
 class OrderDesk:
@@ -367,7 +366,7 @@
                 answered(reply)
             self._on_change(_is_fenced(reply))
 
-        self._line.call(life, path, body, run_orders.timeout(), on_reply)
+        self._line.call(life, path, body, run_orders.timeout(life.answer_times.timeout), on_reply)
 
     # ---- answers
 
--- a/pipitledge/agent/worker_line.py
+++ b/pipitledge/agent/worker_line.py
@@ -36,12 +36,23 @@
         self._calls = calls
 
     def call(
-        self, life: Life, path: str, body: Struct, timeout: float, on_reply: Callable[[WorkerReply], None]
+        self,
+        life: Life,
+        path: str,
+        body: Struct,
+        timeout: float,
+        on_reply: Callable[[WorkerReply], None],
+        waits: bool = False,
     ) -> None:
-        """Call that life of the worker; `on_reply` comes once, within `timeout` seconds."""
+        """Call that life of the worker; `on_reply` comes once, within `timeout` seconds.
+
+        A call that `waits` is answered when something happens, and so tells nothing of how fast the worker answers.
+        """
         sent_at = self._clock.now()
 
         def answered(answer: WorkerAnswer) -> None:
+            if answer.status != NO_ANSWER and not waits:
+                life.answer_times.answered(self._clock.now() - sent_at)
             on_reply(self._take(life, sent_at, answer))
 
         self._calls.post(path, msgspec.json.encode(body), life.instance, timeout, answered)
@@ -49,11 +60,9 @@
     def _take(self, life: Life, sent_at: float, answer: WorkerAnswer) -> WorkerReply:
         now = self._clock.now()
         if answer.status == NO_ANSWER:
-            if life.silent_since is None and life.answered_at <= sent_at:
-                life.silent_since = sent_at
+            life.call_unanswered(sent_at, now, answer.refused)
             return WorkerReply(NO_ANSWER, refused=answer.refused)
-        life.answered_at = now
-        life.silent_since = None
+        life.call_answered(now)
         if answer.status == OTHER_LIFE:
             life.denied = True
             return WorkerReply(OTHER_LIFE)
--- a/pipitledge/scheduling/reports.py
+++ b/pipitledge/scheduling/reports.py
@@ -10,7 +10,7 @@
 from pipitledge.scheduling.lifecycle import Lifecycle
 from pipitledge.scheduling.orders import Orders
 from pipitledge.scheduling.tasks import Demand, Ending, Run, StopCause, ending_of, parse_task_name
-from pipitledge.scheduling.workers import SILENCE_S, Worker
+from pipitledge.scheduling.workers import Worker
 from pipitledge.wire.messages import (
     AgentReport,
     FinishedTask,
@@ -110,7 +110,7 @@
         worker.address = report.address
         worker.reported_at = now
         worker.unreachable = False
-        worker.silent = report.silent_ms > SILENCE_S * 1_000.0 or bool(report.lapsed_instance)
+        worker.silent = report.silent_ms > 0 or bool(report.lapsed_instance)
         if report.worker is not None and self._enter_life(worker, report, report.worker):
             worker.describe(report.worker, now, report.worker.heartbeat_age_ms / 1_000.0)
             if report.hold_number > 0:
--- a/pipitledge/scheduling/workers.py
+++ b/pipitledge/scheduling/workers.py
@@ -13,7 +13,6 @@
 
 HEARTBEATS_UNTIL_STALE = 2.5
 REPORT_STALE_S = 2.5  # without a report nothing new is placed
-SILENCE_S = 1.0  # of a worker towards its agent: nothing new is placed
 LIVES_REMEMBERED = 8
 DRAINING = "draining"
 NOTHING = Demand(0, 0, 0)
--- /dev/null
+++ b/tests/system/test_agent_pace.py
@@ -0,0 +1,130 @@
+"""How long an agent waits for its worker: answers, ends, and how far ahead it holds tasks."""
+
+from __future__ import annotations
+
+import unittest
+
+from pipitledge.agent.answer_times import FIRST_TIMEOUT_S, LONGEST_TIMEOUT_S, SHORTEST_TIMEOUT_S, AnswerTimes
+from pipitledge.agent.holder import SHORTEST_HOLD_S
+from pipitledge.agent.poll_pace import LONGEST_WAIT_S, SHORTEST_WAIT_S, PollPace
+from tests.system.agent_worker import Missed, Sent, Site
+
+QUICK_S = 0.002
+LOST = Missed()
+
+
+class AnswerTimesTest(unittest.TestCase):
+    def test_quick_answers_bring_the_time_out_to_its_floor(self) -> None:
+        times = AnswerTimes()
+        self.assertEqual(FIRST_TIMEOUT_S, times.timeout)
+        for _ in range(3):
+            times.answered(QUICK_S)
+        self.assertEqual(SHORTEST_TIMEOUT_S, times.timeout)
+
+    def test_slow_and_uneven_answers_are_waited_for(self) -> None:
+        times = AnswerTimes()
+        for seconds in (0.1, 0.3) * 10:
+            times.answered(seconds)
+        self.assertGreater(times.timeout, 0.3)
+
+    def test_silence_lengthens_it_once_for_calls_made_side_by_side(self) -> None:
+        times = AnswerTimes()
+        times.answered(QUICK_S)
+        for _ in range(4):
+            times.unanswered(sent_at=1.0, now=1.15)
+        self.assertAlmostEqual(2 * SHORTEST_TIMEOUT_S, times.timeout)
+        for round_ in range(9):
+            times.unanswered(sent_at=2.0 + round_, now=2.5 + round_)
+        self.assertEqual(LONGEST_TIMEOUT_S, times.timeout)
+
+
+class PollPaceTest(unittest.TestCase):
+    def test_polls_wait_little_longer_than_it_takes_until_an_end_comes(self) -> None:
+        pace = PollPace()
+        self.assertEqual(LONGEST_WAIT_S, pace.wait_s)
+        for _ in range(30):
+            pace.ended(0.25)
+        self.assertAlmostEqual(0.5, pace.wait_s, places=2)
+        for _ in range(30):
+            pace.ended(0.001)
+        self.assertEqual(SHORTEST_WAIT_S, pace.wait_s)
+
+    def test_polls_without_an_end_wait_longer_and_longer(self) -> None:
+        pace = PollPace()
+        for _ in range(30):
+            pace.ended(0.1)
+        for _ in range(9):
+            pace.empty(pace.wait_s)
+        self.assertEqual(LONGEST_WAIT_S, pace.wait_s)
+
+
+class LostCalls(unittest.TestCase):
+    """A worker that answers most calls, beside tasks that end all the time."""
+
+    def setUp(self) -> None:
+        self.site = Site()
+        self.site.settle()
+        self.ends = 0
+        for _ in range(20):
+            self.end_one()
+
+    def end_one(self) -> float:
+        """Have a task run, end it, and tell how long its end took to be reported."""
+        task = f"t{self.ends}"
+        self.ends += 1
+        self.site.order_start(task)
+        self.site.run(0.1)
+        self.site.worker.finish(task)
+        ended = self.site.world.time
+        while not any(end.task == task for report in self.site.primary.reports for end in report.finished):
+            self.site.run(0.01)
+            self.assertLess(self.site.world.time, ended + 5.0)
+        return self.site.world.time - ended
+
+    def test_an_end_is_soon_known_though_the_poll_for_it_was_lost(self) -> None:
+        left = [1]
+
+        def lose_one_poll(sent: Sent) -> Missed | None:
+            if not sent.body.get("waitMs") or not left[0]:
+                return None
+            left[0] -= 1
+            return LOST
+
+        self.site.worker.misses = lose_one_poll
+        self.assertLess(self.end_one(), 0.7)
+
+    def test_one_lost_call_does_not_keep_others_from_starting(self) -> None:
+        self.site.worker.misses = lambda sent: LOST if sent.body.get("task") == "lost" else None
+        self.site.order_start("lost")
+        self.site.run(0.2)
+        self.site.order_start("next")
+        self.site.run(0.05)
+        self.assertIn("next", [began.task for began in self.site.worker.began])
+        self.assertEqual(0, self.site.primary.last.silent_ms)
+
+    def test_tasks_of_a_worker_that_falls_silent_lapse_soon(self) -> None:
+        self.site.order_start("last")
+        self.site.run(0.3)
+        self.site.worker.dark = True
+        silent_at = self.site.world.time
+        self.site.run(2 * SHORTEST_HOLD_S + 0.2)
+        lapsed = [
+            when
+            for when, report in zip(self.site.primary.report_times, self.site.primary.reports, strict=True)
+            if report.lapsed_instance
+        ]
+        self.assertTrue(lapsed, "not told")
+        self.assertGreater(lapsed[0], silent_at + SHORTEST_HOLD_S)
+
+    def test_a_task_that_has_run_for_long_is_held_for_longer(self) -> None:
+        self.site.order_start("long")
+        self.site.run(8.0)
+        for _ in range(10):
+            self.end_one()
+        self.site.worker.dark = True
+        self.site.run(3.0)
+        self.assertIn("long", self.site.worker.life.running)
+
+
+if __name__ == "__main__":
+    unittest.main()
