Run speculative tasks of silent workers anew, beside the run that is not heard of

Change: scheduling/copies.py; the former run keeps its room until its end is known, and whichever ends well first counts; one heard of again before its copy has started goes on.

--- a/pipitledge/emulator/cluster/jobs.py
+++ b/pipitledge/emulator/cluster/jobs.py
@@ -20,6 +20,7 @@
     "gang": False,
     "checkpoints": False,
     "longRunning": False,
+    "speculative": False,
     "dependsOn": [],
 }
 
@@ -122,6 +123,8 @@
         stage["cpu"] = min(2_000, stage["cpu"])
     elif random.random() < 0.2:
         stage["antiAffinity"] = random.choice((1, 2))
+    if not stage.get("gang") and random.random() < 0.3:
+        stage["speculative"] = True
     if random.random() < 0.2:
         stage["nodeSelector"] = deployment.of_service(queue.service)[0].labels[0]
     if random.random() < 0.3:
--- a/pipitledge/scheduling/dispatcher.py
+++ b/pipitledge/scheduling/dispatcher.py
@@ -153,8 +153,11 @@
         if step.gang:
             self._assign_gang(step, seeker, everyone)
         else:
-            placer = TaskPlacer(seeker, everyone, everyone, far_x)
-            for task in _failed_first(step):
+            plain = TaskPlacer(seeker, everyone, everyone, far_x)
+            for task in _furthest_behind_first(step):
+                barred = _nodes_in_use(task)
+                beside = Seeker(step, rank, now, barred=barred, pressing=True)
+                placer = TaskPlacer(beside, everyone, everyone, far_x) if barred else plain
                 worker = placer.best() if task.not_before <= now else None
                 if worker is not None:
                     self._lifecycle.assign(task, worker, task.last_run + 1)
@@ -174,12 +177,13 @@
         assert rank is not None, "a step is placed while it waits"
         far_x = self._context.figures.bounds.far_x
         plain = TaskPlacer(Seeker(step, rank, now), candidates, everyone, far_x)
-        for task in _failed_first(step):
+        for task in _furthest_behind_first(step):
             if task.not_before > now:
                 continue
             avoid, cautious = self._misgivings([task], now)
-            choosy = bool(avoid) or cautious
-            seeker = Seeker(step, rank, now, avoid, cautious)
+            barred = _nodes_in_use(task)
+            choosy = bool(avoid or barred) or cautious
+            seeker = Seeker(step, rank, now, avoid, barred, cautious)
             placer = TaskPlacer(seeker, candidates, everyone, far_x) if choosy else plain
             worker = placer.best()
             if worker is not None:
@@ -195,7 +199,7 @@
         if not candidates:
             return False
         avoid, cautious = self._misgivings(step.tasks, now)
-        return self._assign_gang(step, Seeker(step, rank, now, avoid, cautious), everyone)
+        return self._assign_gang(step, Seeker(step, rank, now, avoid, cautious=cautious), everyone)
 
     def _assign_gang(self, step: Step, seeker: Seeker, everyone: Crowd) -> bool:
         """Give each member of a gang a worker, if all of them find one."""
@@ -232,9 +236,14 @@
     return step.blocked_since >= 0.0 and now - step.blocked_since >= PRESSING_AFTER_S
 
 
-def _failed_first(step: Step) -> list[Task]:
-    """The waiting tasks of a step; those that have failed are the furthest behind."""
-    return sorted(step.waiting.values(), key=lambda task: -task.failures)
+def _furthest_behind_first(step: Step) -> list[Task]:
+    """The waiting tasks of a step; those that have failed, or are waited for elsewhere, are the furthest behind."""
+    return sorted(step.waiting.values(), key=lambda task: -task.failures - len(task.former))
+
+
+def _nodes_in_use(task: Task) -> frozenset[str]:
+    """Nodes where a run of the task still holds room, beside which a copy is wanted."""
+    return frozenset(run.node for run in task.former)
 
 
 def _by_name(workers: set[Worker]) -> list[Worker]:
@@ -249,5 +258,5 @@
 def _constrained(step: Step) -> bool:
     """Whether something other than room may keep it from workers."""
     stage = step.stage
-    held_back = any(task.avoided or task.refused_by or task.not_before for task in step.waiting.values())
+    held_back = any(task.avoided or task.refused_by or task.not_before or task.former for task in step.waiting.values())
     return bool(step.gang or stage.affinity or stage.anti_affinity or held_back)
--- a/pipitledge/scheduling/lifecycle.py
+++ b/pipitledge/scheduling/lifecycle.py
@@ -7,6 +7,7 @@
 
 from pipitledge.scheduling import gangs
 from pipitledge.scheduling.context import Context
+from pipitledge.scheduling.evidence import Evidence
 from pipitledge.scheduling.objectives import START_S, Objectives
 from pipitledge.scheduling.records import job_key, job_value, task_key, task_value
 from pipitledge.scheduling.tasks import Ending, Job, Run, Step, StopCause, Task, new_step
@@ -20,8 +21,6 @@
 SHORT_RUN_S = 3.0  # a lasting task that ends sooner is restarted with a growing pause
 SHORT_RUN_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 2.0  # nothing may stand still for 3 s
-SUSPECT_NODES = 3  # a job that fails on so many nodes is to blame itself
-HEALTHY_ENDINGS = (Ending.DONE, Ending.FAILED)
 
 
 class Lifecycle:
@@ -31,6 +30,7 @@
         """Work on the shared state."""
         self._context = context
         self._objectives = Objectives(context)
+        self.evidence = Evidence(context)
         self._timed: list[tuple[int, str]] = []  # heap of (due time of day, job)
         self._retiring: deque[tuple[float, str]] = deque()  # (when, ended job)
 
@@ -128,7 +128,7 @@
             context.fresh.discard(step)
             step.waiting.clear()
         self._drop_unordered_runs(job)
-        left = any(task.run is not None for task in job.tasks())
+        left = bool(job.live_runs())
         context.batch.put(job_key(job.id), job_value(job, keep_body=left))
         self.forget_idle_tasks(job)
         if left:
@@ -140,7 +140,7 @@
     def forget_idle_tasks(self, job: Job) -> None:
         """Delete the records of a job's tasks that hold no room."""
         for task in job.tasks():
-            if task.run is None:
+            if not task.live_runs():
                 self._forget_task(task)
 
     def _drop_unordered_runs(self, job: Job) -> None:
@@ -151,13 +151,13 @@
 
     def stop_runs(self, job: Job) -> None:
         """Stop all that still runs of a job that is over."""
-        for task in job.tasks():
-            if task.run is not None and not task.run.settled:
-                self.request_stop(task.run, StopCause.JOB_ENDED)
+        for run in job.live_runs():
+            if not run.settled:
+                self.request_stop(run, StopCause.JOB_ENDED)
 
     def retire_if_over(self, job: Job) -> None:
         """Once nothing of an ended job runs any more, keep only how it ended."""
-        if job.open or job.id not in self._context.jobs or any(task.run is not None for task in job.tasks()):
+        if job.open or job.id not in self._context.jobs or job.live_runs():
             return
         self._context.batch.put(job_key(job.id), job_value(job, keep_body=False))
         self._retire(job)
@@ -284,20 +284,24 @@
     def run_ended(self, run: Run, ending: Ending, saved: str = "") -> None:
         """A run is over for certain."""
         task = run.task
-        if task.run is not run:
+        is_former = run in task.former
+        if task.run is not run and not is_former:
             return
         step = task.step
         self.note_saved(run, saved, final=True)
         self._release(run)
         if not step.job.open:
-            self._forget_task(task)
+            if not task.live_runs():
+                self._forget_task(task)
             self.retire_if_over(step.job)
             return
         if run.settled:
             return
         self._objectives.observe(run, ending)
-        self._judge(run, ending)
-        if step.gang:
+        self.evidence.judge(run, ending)
+        if is_former:
+            self._former_ended(run, ending)
+        elif step.gang:
             self._member_ended(run, ending)
         elif step.stage.long_running:
             self._lasting_ended(run)
@@ -312,22 +316,31 @@
         task.phase = TaskPhase.DONE
         self._write_task(task)
         task.step.undone -= 1
+        for former in list(task.former):
+            self.request_stop(former, StopCause.COPIED)
         if task.step.done:
             self._step_done(task.step)
 
     def _task_failed(self, run: Run) -> None:
         task = run.task
-        task.failures += 1
-        task.avoided.add(run.node)
-        if task.failures >= self.max_attempts(task.step.job):
-            task.phase = TaskPhase.FAILED
-            self._write_task(task)
-            self._end_job(task.step.job, JobState.FAILED)
+        if self._count_failure(run):
             return
         pause_s = min(LONGEST_PAUSE_S, FAILURE_PAUSE_S * 2.0 ** min(task.failures, 8))
         task.not_before = self._context.clock.now() + pause_s
         self._free_task(task)
 
+    def _count_failure(self, run: Run) -> bool:
+        """Count a failed run; whether that ends its job."""
+        task = run.task
+        task.failures += 1
+        task.avoided.add(run.node)
+        if task.failures < self.max_attempts(task.step.job):
+            return False
+        task.phase = TaskPhase.FAILED
+        self._write_task(task)
+        self._end_job(task.step.job, JobState.FAILED)
+        return True
+
     def _lasting_ended(self, run: Run) -> None:
         """A lasting task is started again however it ended, on another worker if it failed."""
         task = run.task
@@ -344,6 +357,58 @@
             run.task.not_before = self._context.clock.now() + REFUSAL_PAUSE_S
         self._free_task(run.task)
 
+    # ---- copies beside a run
+
+    def run_beside(self, run: Run) -> None:
+        """Let a task run anew elsewhere; the present run goes on, and whichever ends well first counts."""
+        task = run.task
+        task.run = None
+        task.former.append(run)
+        self._free_task(task)
+
+    def go_on_with(self, run: Run) -> None:
+        """A run is heard of again: if no copy of it was started yet, none is needed."""
+        task = run.task
+        waits = task.phase is TaskPhase.WAITING and task.run is None and run.number == task.last_run
+        if run not in task.former or run.stop is not None or not waits or not task.step.job.open:
+            return
+        task.former.remove(run)
+        task.run = run
+        task.phase = TaskPhase.ASSIGNED
+        self._wait_no_more(task)
+        self._write_task(task)
+
+    def end_if_never_begun(self, run: Run) -> None:
+        """A run is absent from lists that are newer than its order, and a copy is wanted: make its end certain."""
+        if run in run.task.former and not run.seen:
+            self.request_stop(run, StopCause.COPIED)
+
+    def done_beside(self, task: Task) -> None:
+        """A task is done by another run than the one that was started last."""
+        if task.phase is TaskPhase.DONE:
+            return
+        self._wait_no_more(task)
+        last, task.run = task.run, None
+        if last is not None:
+            task.former.append(last)
+            self.request_stop(last, StopCause.COPIED)
+        self._task_done(task)
+
+    def _former_ended(self, run: Run, ending: Ending) -> None:
+        """A run ended beside which a copy was wanted."""
+        task = run.task
+        if ending is Ending.DONE:
+            self.done_beside(task)
+        elif ending is Ending.FAILED and task.phase is not TaskPhase.DONE and not self._count_failure(run):
+            self._write_task(task)
+
+    def _wait_no_more(self, task: Task) -> None:
+        """A task needs no start any more."""
+        step = task.step
+        step.waiting.pop(task.index, None)
+        if not step.waiting:
+            self._context.queue(step.job.service).remove(step)
+
     def _free_task(self, task: Task) -> None:
         task.phase = TaskPhase.WAITING
         self._write_task(task)
@@ -394,6 +459,8 @@
         task = run.task
         if task.run is run:
             task.run = None
+        elif run in task.former:
+            task.former.remove(run)
         worker = self._context.workers.get(run.node)
         if worker is not None and worker.remove(run, task.step.demand):
             task.step.on_node[run.node] -= 1
@@ -440,57 +507,6 @@
             for member in step.tasks:
                 member.saved = saved
 
-    def _judge(self, run: Run, ending: Ending) -> None:
-        """Learn from an end how well its worker does."""
-        if run.task.step.stage.long_running or ending not in HEALTHY_ENDINGS:
-            return
-        worker = self._context.workers[run.node]
-        if worker.instance != run.instance:
-            return
-        if ending is Ending.DONE:
-            worker.health.note_success(run.placed_at)
-            self._note_pace_of_done(run, worker)
-        else:
-            self._blame(run, worker)
-
-    def _note_pace_of_done(self, run: Run, worker: Worker) -> None:
-        """A run that ended well tells how fast its worker is."""
-        now = self._context.clock.now()
-        self._context.progressed.setdefault(worker.service, {})[worker.node] = now
-        elapsed_s = now - run.placed_at - START_S
-        if not run.resume and elapsed_s > 0.0:
-            self.note_pace(run, worker, 1.0 / elapsed_s)
-
-    def note_pace(self, run: Run, worker: Worker, rate: float) -> None:
-        """A run does so much of its work per second: compare that with its estimate."""
-        context = self._context
-        now = context.clock.now()
-        stage = run.task.step.stage
-        if stage.long_running or stage.gang or now < worker.cold_until:
-            return
-        pace = rate * stage.estimate_s
-        if stage.affinity and stage.affinity not in worker.labels:
-            pace *= context.figures.bounds.far_x
-        was_slow = worker.health.slow(now)
-        worker.health.note_pace(pace, now)
-        if worker.health.slow(now) != was_slow:
-            context.usability_changed(worker)
-
-    def _blame(self, run: Run, worker: Worker) -> None:
-        """Blame a failed end on its worker, unless its job fails everywhere."""
-        task = run.task
-        job = task.step.job
-        job.failed_nodes.add(run.node)
-        failed_elsewhere = bool(task.avoided - {run.node})
-        if failed_elsewhere or len(job.failed_nodes) >= SUSPECT_NODES:
-            for node in job.failed_nodes:
-                suspect = self._context.workers.get(node)
-                if suspect is not None:
-                    suspect.health.pardon(job.id)
-            return
-        if worker.health.note_failure(job.id, self._context.clock.now()):
-            self._context.log.warning("worker_avoided", peer=worker.node, reason="tasks fail there")
-
     def max_attempts(self, job: Job) -> int:
         """How many failed ends make its tasks fail for good."""
         route = self._context.route(job.route)
--- a/pipitledge/scheduling/orders.py
+++ b/pipitledge/scheduling/orders.py
@@ -111,7 +111,7 @@
             if now >= begins and now - run.stop_sent_at >= REPEAT_AFTER_S:
                 run.stop_sent_at = now
                 orders.stops.append(StopOrder(task=run.task.name, run=run.number))
-        elif run.committed and not run.shown and now - run.ordered_at >= REPEAT_AFTER_S:
+        elif run.committed and not run.shown and run is run.task.run and now - run.ordered_at >= REPEAT_AFTER_S:
             run.ordered = True
             run.ordered_at = now
             spec = run.task.step.job.submission.spec
--- a/pipitledge/scheduling/placement.py
+++ b/pipitledge/scheduling/placement.py
@@ -30,6 +30,7 @@
     rank: Rank
     now: float
     avoid: Collection[str] = field(default_factory=frozenset)  # nodes
+    barred: Collection[str] = field(default_factory=frozenset)  # nodes where the task still runs, beside a copy
     cautious: bool = False  # keep away from workers where something has just failed
     pressing: bool = False  # has waited so long, while most is idle, that any worker with room will do
 
@@ -210,6 +211,8 @@
         return False
     if stage.anti_affinity and step.on_node.get(worker.node, 0) >= stage.anti_affinity:
         return False
+    if worker.node in seeker.barred:
+        return False
     if seeker.pressing:
         return True
     if worker.node in seeker.avoid or (seeker.cautious and worker.health.suspect):
--- a/pipitledge/scheduling/reports.py
+++ b/pipitledge/scheduling/reports.py
@@ -9,7 +9,7 @@
 from pipitledge.scheduling.context import Context
 from pipitledge.scheduling.lifecycle import Lifecycle
 from pipitledge.scheduling.orders import Orders
-from pipitledge.scheduling.tasks import Demand, Ending, Run, StopCause, ending_of, parse_task_name
+from pipitledge.scheduling.tasks import Demand, Ending, Run, Step, StopCause, ending_of, parse_task_name
 from pipitledge.scheduling.workers import Worker
 from pipitledge.wire.messages import (
     AgentReport,
@@ -23,6 +23,7 @@
 ENDS_AT_ONCE = 500  # a worker lists no more ends at a time; a shorter list is whole
 LONGEST_DEFERRAL_S = 0.25  # an answer waits so long at most for the commit of the ends in its report
 REFUSAL_PATIENCE_S = 0.5  # a refusal that no lists confirm for so long is followed by a stop
+BEGUN_WITHIN_S = 0.5  # after its placing a run is there, or its order was lost
 START = "start"
 STARTED = "started"
 
@@ -168,15 +169,21 @@
     def _take_running(self, worker: Worker, running: list[RunningTask], now: float) -> None:
         foreign: dict[tuple[str, int], Demand | None] = {}
         shown: set[str] = set()
+        absent: list[Run] = []
         for entry in running:
             run = worker.runs.get(entry.task)
             if run is not None and run.number == entry.run:
                 shown.add(entry.task)
+                self._lifecycle.go_on_with(run)
                 self._take_progress(worker, run, entry, now)
             else:
                 foreign[entry.task, entry.run] = self._demand_of(entry.task)
         for name, run in worker.runs.items():
             run.shown = name in shown
+            if not run.shown and worker.hold_at > run.placed_at + BEGUN_WITHIN_S:
+                absent.append(run)
+        for run in absent:
+            self._lifecycle.end_if_never_begun(run)
         if worker.show_foreign(foreign):
             for key in foreign:
                 worker.foreign_stops.setdefault(key, -math.inf)
@@ -185,10 +192,14 @@
 
     def _demand_of(self, name: str) -> Demand | None:
         """What a task needs, if it is of a job that is known."""
+        step = self._step_of(name)
+        return step.demand if step is not None else None
+
+    def _step_of(self, name: str) -> Step | None:
+        """The step of a task, if its job is known."""
         parsed = parse_task_name(name)
         job = self._context.jobs.get(parsed.job) if parsed is not None else None
-        step = job.steps.get((parsed.time, parsed.step)) if job is not None and parsed is not None else None
-        return step.demand if step is not None else None
+        return job.steps.get((parsed.time, parsed.step)) if job is not None and parsed is not None else None
 
     def _take_progress(self, worker: Worker, run: Run, entry: RunningTask, now: float) -> None:
         """Take note of how far a run has come, and of its checkpoint."""
@@ -206,7 +217,7 @@
             run.progressed_at = now
             self._context.progressed.setdefault(worker.service, {})[worker.node] = now
         if run.stop is None and run.rate > 0.0:
-            self._lifecycle.note_pace(run, worker, run.rate)
+            self._lifecycle.evidence.note_pace(run, worker, run.rate)
 
     def _take_finished(self, worker: Worker, finished: list[FinishedTask]) -> None:
         """Take in the ends that are new, in their order."""
@@ -218,6 +229,18 @@
             run = worker.runs.get(end.task)
             if run is not None and run.number == end.run and run.instance == instance:
                 self._lifecycle.run_ended(run, ending_of(end.how), end.saved)
+            elif ending_of(end.how) is Ending.DONE:
+                self._take_stray_success(end)
+
+    def _take_stray_success(self, end: FinishedTask) -> None:
+        """A run that this primary does not know of ended well: it counts where copies may run beside each other."""
+        step = self._step_of(end.task)
+        name = parse_task_name(end.task)
+        if step is None or name is None or not step.stage.speculative or name.index >= len(step.tasks):
+            return
+        task = step.tasks[name.index]
+        if end.run <= task.last_run and step.job.open:
+            self._lifecycle.done_beside(task)
 
     # ---- results of orders
 
--- a/pipitledge/scheduling/scheduler.py
+++ b/pipitledge/scheduling/scheduler.py
@@ -9,6 +9,7 @@
 from pipitledge.scheduling.admission import Admission
 from pipitledge.scheduling.calls import ClientCalls
 from pipitledge.scheduling.context import Context, Figures, Node, Ports
+from pipitledge.scheduling.copies import Copies
 from pipitledge.scheduling.dispatcher import Dispatcher
 from pipitledge.scheduling.lifecycle import Lifecycle
 from pipitledge.scheduling.orders import Orders
@@ -45,6 +46,7 @@
         self._reports = Reports(self._context, self._lifecycle, self._orders)
         self._calls = ClientCalls(self._context, self._lifecycle, self._admission)
         self._watch = Watch(self._context, self._lifecycle)
+        self._copies = Copies(self._context, self._lifecycle)
         self._timer: Timer | None = None
         self._context.on_pass = self._dispatcher.run_pass
 
@@ -103,6 +105,7 @@
             return
         if context.replicator.is_primary():
             self._watch.tick()
+            self._copies.tick()
             self._lifecycle.begin_due_times()
             self._lifecycle.delete_old_jobs()
             self._reports.answer_overdue()
--- a/pipitledge/scheduling/tasks.py
+++ b/pipitledge/scheduling/tasks.py
@@ -47,6 +47,7 @@
     SLOW = "slow"
     LEAVING = "worker leaves"
     REFUSED = "start refused"
+    COPIED = "a copy runs instead"
 
 
 class Demand(Struct, frozen=True):
@@ -145,6 +146,7 @@
     failures: int = 0
     saved: str = ""
     run: Run | None = None
+    former: list[Run] = field(default_factory=list)  # that hold room still, beside a copy
     recorded: bool = False  # a record of it exists
     not_before: float = 0.0
     avoided: set[str] = field(default_factory=set)  # nodes where it failed
@@ -154,6 +156,10 @@
     moves: int = 0
     worked_s: float = 0.0  # that its runs took which ended by themselves
 
+    def live_runs(self) -> list[Run]:
+        """Its runs that hold room."""
+        return [*self.former, self.run] if self.run is not None else list(self.former)
+
 
 @dataclass(slots=True, eq=False, repr=False)
 class Step:
@@ -236,6 +242,10 @@
         for step in self.steps.values():
             yield from step.tasks
 
+    def live_runs(self) -> list[Run]:
+        """All runs of its tasks that hold room."""
+        return [run for task in self.tasks() for run in task.live_runs()]
+
 
 def demand_of(stage: Stage) -> Demand:
     """What each task of a step needs."""
--- /dev/null
+++ b/tests/system/test_copies.py
@@ -0,0 +1,82 @@
+"""Copies of `speculative` tasks beside runs of which nothing is heard."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.system.scheduling_case import FIRST_TASK, JOB, LAPSE_S, SchedulingCase, body, stage
+from tests.system.worker_model import BOUNDS
+
+SOON_S = 2.5  # far less than until the runs of a worker out of touch have lapsed
+WORK_S = 1.0
+
+
+class Copies(SchedulingCase):
+    def begin(self, **kind: bool) -> str:
+        """One task runs; the node where it does."""
+        self.make()
+        self.submit(JOB, body(stage(**kind)), work_s=WORK_S)
+        [(node, _)] = self.await_runs(JOB)
+        return node
+
+    def test_a_copy_ends_a_job_whose_worker_is_out_of_touch(self) -> None:
+        node = self.begin(speculative=True)
+        self.cluster.cut_agent(node, LAPSE_S)
+        self.assert_completes(JOB, SOON_S + WORK_S)
+        self.assertEqual(2, len({start[3] for start in self.starts_of(JOB)}))
+
+    def test_without_leave_a_task_waits_until_its_run_has_ended_for_certain(self) -> None:
+        node = self.begin(speculative=False)
+        self.cluster.cut_agent(node, LAPSE_S + 5.0)
+        self.cluster.run(SOON_S + WORK_S)
+        self.assertEqual([1], [start[2] for start in self.starts_of(JOB)])
+
+    def test_a_copy_is_wanted_when_the_worker_leaves_calls_unanswered(self) -> None:
+        node = self.begin(speculative=True)
+        self.cluster.worker(node).cut_off = True
+        self.assert_completes(JOB, SOON_S + WORK_S)
+
+    def test_the_first_run_counts_if_it_is_heard_of_again_before_a_copy_has_started(self) -> None:
+        self.make(workers=1)
+        self.submit(JOB, body(stage(speculative=True)), work_s=3.0)
+        [(node, _)] = self.await_runs(JOB)
+        self.cluster.cut_agent(node, 2.0)
+        self.assert_completes(JOB, 8.0)
+        self.assertEqual([1], [start[2] for start in self.starts_of(JOB)])
+
+    def test_whichever_run_ends_well_first_counts_and_the_other_is_stopped(self) -> None:
+        node = self.begin(speculative=True)
+        self.cluster.worker(node).set_speed(0.2)
+        self.cluster.cut_agent(node, 2.0)
+        self.assert_completes(JOB, SOON_S + WORK_S)
+        self.cluster.run(2.0)
+        self.assertEqual([], self.cluster.runs_of(JOB))
+        self.assertEqual(["stopped"], [end[3] for end in self.cluster.judge.ends if end[4] == node])
+
+    def test_both_runs_hold_their_room_until_their_ends_are_known(self) -> None:
+        node = self.begin(speculative=True)
+        self.cluster.cut_agent(node, 4.0)
+        self.cluster.run(2.0)
+        self.assertIn(FIRST_TASK, self.primary.scheduler.context.workers[node].runs)
+        self.cluster.run(4.0)
+        self.assertEqual({}, self.primary.scheduler.context.workers[node].runs)
+
+    def test_a_new_primary_takes_the_end_of_a_run_that_it_does_not_know(self) -> None:
+        node = self.begin(speculative=True)
+        self.cluster.cut_agent(node, 3.0)
+        self.cluster.run(1.6)  # a copy is wanted, and perhaps under way
+        self.cluster.promote()
+        self.assert_completes(JOB, 10.0)
+        self.cluster.run(BOUNDS.cancel_ms / 1_000.0)
+        self.assertEqual([], self.cluster.runs_of(JOB))
+
+    def test_failures_of_both_runs_count(self) -> None:
+        self.make()
+        self.submit(JOB, body(stage(speculative=True)), work_s=WORK_S, fails=lambda task, run, node: True)
+        [(node, _)] = self.await_runs(JOB)
+        self.cluster.cut_agent(node, 2.5)
+        self.assertTrue(self.cluster.wait_for(JOB, "failed", 20.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
