--- a/pipitledge/configuration/datasets.py
+++ b/pipitledge/configuration/datasets.py
@@ -26,6 +26,7 @@
     inflight: float = 0.0
     limit: float = 0.0
     reservation: float = 0.0
+    priority: int = 0  # 0 goes first
 
 
 class PoolFigures(Struct, frozen=True, omit_defaults=True):
@@ -39,11 +40,12 @@
     gpu: int = 0
     late_factor: float = 0.0  # up to so many times its objective a job still earns
 
-    def usages(self) -> dict[str, QueueUsage]:
-        """The same as admission takes it."""
+    def usages(self, priority: int) -> dict[str, QueueUsage]:
+        """The queues that go before or beside a job of that priority, as admission takes them."""
         return {
             name: QueueUsage(figures.inflight, figures.limit, figures.reservation)
             for name, figures in self.queues.items()
+            if figures.priority <= priority
         }
 
 
--- a/pipitledge/scheduling/admission.py
+++ b/pipitledge/scheduling/admission.py
@@ -8,7 +8,7 @@
 from pipitledge.configuration.datasets import PoolFigures, QueueFigures, QueueUsageReport
 from pipitledge.configuration.model import Route
 from pipitledge.scheduling.admission_rule import Verdict, decide, job_weight
-from pipitledge.scheduling.context import Context
+from pipitledge.scheduling.context import LOWEST_PRIORITY, Context
 from pipitledge.scheduling.job import Submission
 from pipitledge.scheduling.objectives import LATE_FACTOR
 from pipitledge.scheduling.workers import ServiceRoom
@@ -80,6 +80,11 @@
         queues = self._queues_by_service().get(route.service, [])
         return queues if route.name in queues else [*queues, route.name]
 
+    def _priority_of(self, queue: str) -> int:
+        """Priority of a queue, 0 going first."""
+        route = self._context.route(queue)
+        return LOWEST_PRIORITY if route is None else route.priority
+
     def _pool(self, room: ServiceRoom, queues: list[str]) -> PoolFigures:
         """What each queue of a service uses and may use, and what there is."""
         inflight = self._context.inflight
@@ -88,7 +93,9 @@
         return PoolFigures(
             capacity=float(room.slots),
             queues={
-                queue: QueueFigures(round(inflight.get(queue, 0.0), SLOT_DIGITS), limit, reservation)
+                queue: QueueFigures(
+                    round(inflight.get(queue, 0.0), SLOT_DIGITS), limit, reservation, self._priority_of(queue)
+                )
                 for queue in queues
             },
             workers=room.workers,
--- a/pipitledge/scheduling/admission_rule.py
+++ b/pipitledge/scheduling/admission_rule.py
@@ -2,7 +2,9 @@
 
 The clients of the design are the queues; a job weighs the slots of its widest step. Capacity is the slots there are,
 times how often they can be used up before jobs that wait would earn nothing any more. So ordinary load queues, and only
-a flood is refused. The same figures give the same decision wherever it is made.
+a flood is refused. Queues of a lower priority do not count against a job, as what waits there lets it go first: each
+priority has a pool of its own, of all queues that go before or beside it. The same figures give the same decision
+wherever it is made.
 """
 
 from __future__ import annotations
@@ -40,7 +42,7 @@
     chain_s = max(remaining_chains_s(submission.stages, lengths))
     turns = depth(route, chain_s, pool.late_factor)
     capacity = pool.capacity * turns
-    decision = admit(weight, route.name, _usages(pool, turns, let_in), capacity)
+    decision = admit(weight, route.name, _usages(pool, route.priority, turns, let_in), capacity)
     if decision.admitted:
         return Verdict(True, weight)
     excess = max(0.0, inflight + weight - capacity) / max(1.0, pool.capacity)
@@ -72,11 +74,11 @@
     return max(LEAST_DEPTH, late_factor * objective_s / max(chain_s, LEAST_CHAIN_S))
 
 
-def _usages(pool: PoolFigures, turns: float, let_in: Mapping[str, float]) -> dict[str, QueueUsage]:
-    """What each queue of the pool uses, and may use in so many turns of the slots."""
+def _usages(pool: PoolFigures, priority: int, turns: float, let_in: Mapping[str, float]) -> dict[str, QueueUsage]:
+    """What each queue that goes before or beside that priority uses, and may use in so many turns of the slots."""
     return {
         name: QueueUsage(usage.inflight + let_in.get(name, 0.0), usage.limit * turns, usage.reservation * turns)
-        for name, usage in pool.usages().items()
+        for name, usage in pool.usages(priority).items()
     }
 
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -596,7 +596,7 @@
 
     def inflight(self) -> float:
         assert self.plane.usage is not None
-        return self.plane.usage.pools["s1"].usages()["r1"].inflight
+        return self.plane.usage.pools["s1"].usages(0)["r1"].inflight
 
     def test_usage_is_pulled_when_it_changes(self) -> None:
         published = [(1, self.usage(3.0))]
--- a/tests/system/test_local_admission.py
+++ b/tests/system/test_local_admission.py
@@ -92,7 +92,9 @@
     def pull(self, version: int = 1, **inflight: float) -> None:
         """Have the node pull the usage of the two queues; each may use 40 slots, 8 of them are reserved."""
         queues = {
-            route.name: QueueFigures(inflight.get(route.name, 0.0), 40.0 / LEAST_DEPTH, 8.0 / LEAST_DEPTH)
+            route.name: QueueFigures(
+                inflight.get(route.name, 0.0), 40.0 / LEAST_DEPTH, 8.0 / LEAST_DEPTH, route.priority
+            )
             for route in ROUTES
         }
         pool = PoolFigures(20.0, queues, workers=4, cpu=5_000, memory_mb=8_192, gpu=4)
@@ -118,6 +120,15 @@
         self.assertFalse(self.refused(10, 1))
         self.assertTrue(self.refused(11, 2))
 
+    def test_what_yields_to_a_job_does_not_count_against_it(self) -> None:
+        self.pull(plain=400.0, urgent=38.0)
+        self.assertFalse(self.refused(2, 1, URGENT))
+        self.assertTrue(self.refused(3, 2, URGENT))  # over the limit of its own queue
+
+    def test_what_goes_first_counts_against_a_job(self) -> None:
+        self.pull(plain=10.0, urgent=72.0)
+        self.assertTrue(self.refused(1, 1, PLAIN))
+
     def test_an_idle_queues_job_is_taken_whatever_its_size(self) -> None:
         self.pull(urgent=72.0)
         self.assertFalse(self.refused(100))
@@ -240,8 +251,8 @@
         self.cluster.run(USAGE_VALID_S)
         pool = self.report().pools[SERVICE]
         self.assertEqual((pool.capacity, pool.workers, pool.cpu), (4.0 * SLOTS_A_WORKER, 4, 8_000))
-        self.assertEqual(pool.queues["plain"], QueueFigures(8.0, 32.0, 8.0))
-        self.assertEqual(pool.queues["urgent"], QueueFigures(0.0, 32.0, 8.0))
+        self.assertEqual(pool.queues["plain"], QueueFigures(8.0, 32.0, 8.0, priority=PLAIN.priority))
+        self.assertEqual(pool.queues["urgent"], QueueFigures(0.0, 32.0, 8.0, priority=URGENT.priority))
 
     def test_weight_returns_when_a_job_ends(self) -> None:
         self.admits(1, {"stages": [{"count": 4, "cpu": 2_000}]}, PLAIN)
