Call the primary by way of a relay where it can't be reached straight

Cause: machines cut off from all counted ones for 4 to 6 s, while all others reach both, kept their workers' ends to themselves, and nothing was started there. Members never call each other so.

--- a/pipitledge/emulator/cluster/site.py
+++ b/pipitledge/emulator/cluster/site.py
@@ -16,6 +16,7 @@
 from pipitledge.ingress.ingress import Ingress
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.readiness import Readiness
+from pipitledge.membership.detours import Detours
 from pipitledge.membership.founding_gate import FoundingGate
 from pipitledge.membership.membership import Membership, internal_addresses
 from pipitledge.membership.primary_caller import PrimaryCaller
@@ -177,12 +178,15 @@
         name, counted = process.machine.name, process.machine.name in self.deployment.counted
         log = self._log(name)
         membership = self._membership(process, counted, bootstrap and counted, "edge")
-        replica = self._build_control(process, membership, bootstrap) if counted else None
+        detours = _detours(process, membership)
+        replica = self._build_control(process, membership, detours, bootstrap) if counted else None
         if replica is None:
             register_diskless_seed(process.handlers, process.machine.address, bootstrap, membership)
         local = process.handlers.call if counted else None
         randomness = random.Random(process.random.random())
-        caller = PrimaryCaller(process.clock, process.network, membership, randomness, local, name)
+        caller = PrimaryCaller(
+            process.clock, process.network, membership, randomness, local, name, None if counted else detours
+        )
         data_plane = DataPlane(process.clock, caller, name, log, self.deployment.bounds)
         readiness = Readiness(data_plane)
         admission = LocalAdmission(data_plane)
@@ -193,7 +197,7 @@
             replica.start()
         data_plane.start()
 
-    def _build_control(self, process: Process, membership: Membership, bootstrap: bool) -> Replica:
+    def _build_control(self, process: Process, membership: Membership, detours: Detours, bootstrap: bool) -> Replica:
         machine, log = process.machine, self._log(process.machine.name)
         services: list[PrimaryService] = []
         replica = Replica(
@@ -212,7 +216,7 @@
             FoundingGate(process.clock, membership, len(self._seeds)).open,
         )
         keeper = ConfigurationKeeper(replica, log)
-        ports = Ports(process.clock, process.network, replica, keeper.current, process.clock.wall_ms, log)
+        ports = Ports(process.clock, detours, replica, keeper.current, process.clock.wall_ms, log)
         figures = Figures(self.deployment.bounds, HEARTBEAT_MS / 1_000.0)
 
         def agents() -> list[str]:
@@ -229,7 +233,8 @@
         machine = process.machine
         membership = self._membership(process, False, False, AGENTS_CLASS)
         randomness = random.Random(process.random.random())
-        caller = PrimaryCaller(process.clock, process.network, membership, randomness, None, machine.name)
+        detours = _detours(process, membership)
+        caller = PrimaryCaller(process.clock, process.network, membership, randomness, None, machine.name, detours)
         identity = AgentIdentity(
             machine.name,
             machine.address,
@@ -254,5 +259,13 @@
         agent.start()
 
 
+def _detours(process: Process, membership: Membership) -> Detours:
+    """Calls by way of relays, for one process."""
+    randomness = random.Random(process.random.random())
+    detours = Detours(process.clock, process.network, membership, process.handlers, randomness)
+    detours.register()
+    return detours
+
+
 def _nothing(_process: Process) -> None:
     """Drop the result of a start."""
--- a/pipitledge/membership/candidates.py
+++ b/pipitledge/membership/candidates.py
@@ -20,6 +20,7 @@
 
     address: str
     name: str = ""
+    relay: str = ""  # address of the node by way of which it is called; empty: straight
 
 
 def primary_of(view: View | None) -> Candidate | None:
--- a/pipitledge/membership/membership.py
+++ b/pipitledge/membership/membership.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct
 
-from pipitledge.membership.partial_view import PartialView
+from pipitledge.membership.partial_view import LEAF_CLASS, PartialView
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.ports import Clock, Network
 from pipitledge.wire.messages import NodeDescriptor, Shuffle, View
@@ -34,8 +34,6 @@
 """Between requests, among many, so that each is heard of often enough."""
 LEAF_SHUFFLE_INTERVAL_S = 3.0
 """Between requests of an agent: there are many, and none needs to know the others."""
-LEAF_CLASS = "side"
-"""Machine class of agents."""
 FEW_PROCESSES = 20
 """Up to this many are few; beyond, the interval shrinks in proportion."""
 SEEK_PHASE_S = 2.0
@@ -207,7 +205,9 @@
         now = self._clock.now()
         view = self._view if now - self._view_at < VIEW_NEWS_S else None
         count = _sample_size(self.me, view)
-        if self._is_leaf or self._is_leaf_at(address):
+        if self._is_leaf:
+            count = SMALLEST_SAMPLE_SIZE  # what an agent knows, nodes have told it
+        elif self._is_leaf_at(address):
             count = min(count, LEAF_SAMPLE_SIZE)
         sample = self._neighbours.sample(now, count, self._alive_since())
         self._network.datagram(address, Shuffle(sender=self.me, sample=sample, view=view, reply=True))
--- a/pipitledge/membership/partial_view.py
+++ b/pipitledge/membership/partial_view.py
@@ -34,6 +34,12 @@
 ANY_SHARE = 4
 """Of news, 1/4 are of any entry, so that all come to be known."""
 
+RELAYS_TOLD = 1
+"""Of an answer that names counted nodes first, so many are nodes that do not count."""
+
+LEAF_CLASS = "side"
+"""Machine class of agents."""
+
 MS_PER_S = 1000
 
 
@@ -99,13 +105,15 @@
     ) -> list[NodeDescriptor]:
         """What to send in answer to a sample: what is younger here, and some of the youngest that it lacks.
 
-        `counted_first`: counted nodes before all others, whatever their age.
+        `counted_first`: counted nodes before all others, whatever their age, but for one that may be a relay.
         """
         ages = {descriptor.name: descriptor.age_ms for descriptor in asked}
         heard = sorted((entry for entry in self._neighbours.values() if entry.heard_at >= since), key=_heard_at)
         younger = [entry for entry in heard if _is_younger(entry, ages.get(entry.descriptor.name), now)]
         counted = [entry for entry in heard if entry.descriptor.counted] if counted_first else []
-        chosen = self._draw(counted, count)
+        others = [entry for entry in heard if _may_relay(entry.descriptor)] if counted_first else []
+        chosen = self._draw(others, RELAYS_TOLD)
+        chosen += self._draw(counted, count - len(chosen))
         chosen += self._draw([entry for entry in younger if entry not in chosen], count - len(chosen))
         lacking = [entry for entry in heard if entry.descriptor.name not in ages and entry not in chosen]
         chosen += self._draw_news(lacking, count - len(chosen))
@@ -145,6 +153,11 @@
             del self._neighbours[leaving.descriptor.name]
 
 
+def _may_relay(descriptor: NodeDescriptor) -> bool:
+    """Whether it is a node that does not count: it may reach those that another process can't."""
+    return not descriptor.counted and descriptor.machine_class != LEAF_CLASS
+
+
 def _replaces(offered: Neighbour, known: Neighbour, margin: float) -> bool:
     """Whether what is offered tells more of a process than what is known."""
     if offered.descriptor.incarnation != known.descriptor.incarnation:
--- a/pipitledge/membership/primary_caller.py
+++ b/pipitledge/membership/primary_caller.py
@@ -14,6 +14,7 @@
 from msgspec import Struct
 
 from pipitledge.membership.candidates import Candidate, SearchRounds, primary_of
+from pipitledge.membership.detours import Detours
 from pipitledge.membership.membership import Membership
 from pipitledge.runtime.handlers import Reply
 from pipitledge.runtime.ports import Clock, Network, ReplyHandler, Timer
@@ -27,6 +28,11 @@
 """Pause after the first round of a search, or the first repetition of a call."""
 LONGEST_PAUSE_S = 0.25
 """Pauses double up to this."""
+RELAYED_ATTEMPT_S = 0.4
+"""Longest wait for one node by way of a relay, during a search: it may be the node that does not answer."""
+PROBE_INTERVAL_S = 1.0
+"""Between looks whether the primary can be reached without the relay again."""
+PROBE_TIMEOUT_S = 0.5
 
 LocalHandler = Callable[[Struct, Reply], bool]
 
@@ -67,8 +73,12 @@
         randomness: random.Random,
         local: LocalHandler | None = None,
         my_name: str = "",
+        detours: Detours | None = None,
     ) -> None:
-        """A caller in the process `my_name`; `local` answers in place of the network where that is the one to ask."""
+        """A caller in the process `my_name`; `local` answers in place of the network where that is the one to ask.
+
+        With `detours`, a primary that can't be reached is called by way of a relay.
+        """
         self._clock = clock
         self._network = network
         self._membership = membership
@@ -80,6 +90,9 @@
         self._scout: _Call | None = None
         self._scout_pause = FIRST_PAUSE_S
         self._waiting: deque[_Call] = deque()
+        self._detours = detours
+        self._relayed: Candidate | None = None  # the primary by way of a relay, where that is to be tried next
+        self._probe_at = 0.0
         membership.on_view(self._learn_view)
 
     def call(self, request: Struct, patience_s: float, on_done: OutcomeHandler) -> None:
@@ -106,6 +119,7 @@
         if reply is not None and not isinstance(reply, NotPrimary):
             if asked == self._primary:
                 self._answered_at = self._clock.now()
+                self._probe_if_relayed(asked)
             self._finish(call, reply)
             return
         self._offer_view(reply)
@@ -129,6 +143,26 @@
         self._scout_pause = FIRST_PAUSE_S
         self._rounds.start(former)
         self._note_answer(former, answered)
+        if not answered:
+            self._plan_relay(former)
+
+    def _plan_relay(self, unreached: Candidate) -> None:
+        """Try a node that did not answer by way of a relay: this process may be cut off from it, and others not."""
+        relay = self._detours.relay((unreached.address, unreached.relay)) if self._detours is not None else ""
+        self._relayed = Candidate(unreached.address, unreached.name, relay) if relay else None
+
+    def _probe_if_relayed(self, primary: Candidate) -> None:
+        """Now and then see whether the primary can be reached straight again."""
+        now = self._clock.now()
+        if self._detours is None or not primary.relay or now < self._probe_at:
+            return
+        self._probe_at = now + PROBE_INTERVAL_S
+
+        def probed(reply: Struct | None) -> None:
+            if reply is not None and self._primary == primary:
+                self._go_to(Candidate(primary.address, primary.name))
+
+        self._detours.probe(primary.address, PROBE_TIMEOUT_S, probed)
 
     def _note_answer(self, candidate: Candidate, answered: bool) -> None:
         if answered:
@@ -141,14 +175,21 @@
         scout = self._scout
         if scout is None:
             return
-        candidate = self._rounds.next()
+        candidate, self._relayed = self._relayed or self._rounds.next(), None
         if candidate is None:
             scout.attempt += 1
+            self._plan_relay_to_primary()
             self._after(self._scout_pause, partial(self._go_on, scout, scout.attempt))
             self._scout_pause = min(2 * self._scout_pause, LONGEST_PAUSE_S)
             return
         self._send(scout, candidate, partial(self._take_scouts_reply, scout, candidate))
 
+    def _plan_relay_to_primary(self) -> None:
+        """A round is over: begin the next one with the primary of the newest view, by way of another relay."""
+        primary = primary_of(self._membership.view)
+        if primary is not None:
+            self._plan_relay(primary)
+
     def _go_on(self, scout: _Call, attempt: int) -> None:
         """Begin the next round, unless something else has happened."""
         if scout is self._scout and scout.attempt == attempt:
@@ -169,7 +210,8 @@
         return None
 
     def _take_scouts_reply(self, scout: _Call, asked: Candidate, reply: Struct | None) -> None:
-        self._note_answer(asked, answered=reply is not None)
+        if not asked.relay:
+            self._note_answer(asked, answered=reply is not None)
         if reply is not None and not isinstance(reply, NotPrimary):
             self._found(asked)
             self._finish(scout, reply)
@@ -213,7 +255,9 @@
         call.attempt += 1
         call.asked = candidate
         attempt = call.attempt
-        timeout = max(SHORTEST_ATTEMPT_S, min(call.deadline - self._clock.now(), ATTEMPT_S))
+        searches = candidate != self._primary
+        longest_s = RELAYED_ATTEMPT_S if candidate.relay and searches else ATTEMPT_S
+        timeout = max(SHORTEST_ATTEMPT_S, min(call.deadline - self._clock.now(), longest_s))
 
         def take(reply: Struct | None) -> None:
             if call.done or call.attempt != attempt:
@@ -227,6 +271,8 @@
             self._after(timeout, partial(take, None))
             if not self._local(call.request, take):
                 take(NotPrimary())
+        elif candidate.relay and self._detours is not None:
+            self._detours.call_by(candidate.relay, candidate.address, call.request, timeout, take)
         else:
             self._network.call(candidate.address, call.request, timeout, take)
 
--- a/pipitledge/programs/agent.py
+++ b/pipitledge/programs/agent.py
@@ -33,7 +33,9 @@
 def build_agent(core: Core) -> Agent:
     """Assemble the agent's planes."""
     settings = core.settings
-    caller = PrimaryCaller(core.host, core.transport, core.membership, random.Random(), my_name=settings.name)
+    caller = PrimaryCaller(
+        core.host, core.transport, core.membership, random.Random(), my_name=settings.name, detours=core.detours
+    )
     identity = AgentIdentity(
         name=settings.name,
         address=core.transport.address,
--- a/pipitledge/programs/control.py
+++ b/pipitledge/programs/control.py
@@ -106,7 +106,7 @@
         FoundingGate(core.host, core.membership, len(settings.seeds)).open,
     )
     keeper = ConfigurationKeeper(replica, logs.get("keeper"))
-    ports = Ports(core.host, core.transport, replica, keeper.current, core.host.wall_ms, logs.get("scheduler"))
+    ports = Ports(core.host, core.detours, replica, keeper.current, core.host.wall_ms, logs.get("scheduler"))
     figures = Figures(settings.bounds, settings.heartbeat_ms / MS_PER_SECOND)
     scheduler = Scheduler(ports, figures, Node(settings.name, core.transport.address), lambda: _agents(core))
     keeper.publish_usage(scheduler.usage)
--- a/pipitledge/programs/core.py
+++ b/pipitledge/programs/core.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from pipitledge.membership.detours import Detours
 from pipitledge.membership.membership import Membership
 from pipitledge.programs.status import members_section
 from pipitledge.runtime import logs
@@ -59,6 +60,8 @@
             self.host, self.transport, random.Random(), self.me, list(settings.seeds), settings.internal_ports[0]
         )
         self.membership.register(self.handlers)
+        self.detours = Detours(self.host, self.transport, self.membership, self.handlers, random.Random())
+        self.detours.register()
         self.handlers.on_call(StatusRequest, self._tell_status)
         self._watch = SettingsWatch(path, settings, self.log)
         self._servers: list[HttpServer] = []
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -44,6 +44,7 @@
             random.Random(),
             core.handlers.call if settings.counted else None,
             settings.name,
+            None if settings.counted else core.detours,
         )
         self._data_plane: DataPlane | None = None
         self._ingress: Ingress | None = None
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -207,6 +207,24 @@
     reason: str = ""  # why it is not granted
 
 
+class Forward(Struct):
+    """A call that goes by way of a relay, as its sender can't reach its receiver; without a message it is a probe."""
+
+    target: str = ""  # internal address of the receiver
+    origin: str = ""  # internal address of the sender
+    relay: str = ""  # internal address of the relay, once that has passed it on
+    timeout_ms: int = 0  # how long the relay may wait for the answer
+    message: bytes = b""  # encoded
+
+
+class Forwarded(Struct):
+    """Answer to `Forward`."""
+
+    answered: bool = False  # whether the receiver was reached and gave an answer
+    message: bytes = b""  # that answer, encoded
+    view: View | None = None  # the newest that a relay knows which did not reach the receiver
+
+
 class Write(Struct):
     """One key's new value in replicated state; `deleted` removes the key."""
 
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -15,11 +15,10 @@
     ALIVE_S,
     DATAGRAM_BYTES,
     FORGET_S,
-    LEAF_CLASS,
     LEAF_SHUFFLE_INTERVAL_S,
     Membership,
 )
-from pipitledge.membership.partial_view import OTHER_DISK_AFTER_S, YOUNGER_BY_S, PartialView
+from pipitledge.membership.partial_view import LEAF_CLASS, OTHER_DISK_AFTER_S, YOUNGER_BY_S, PartialView
 from pipitledge.membership.primary_caller import ATTEMPT_S, Outcome, PrimaryCaller
 from pipitledge.runtime.handlers import Reply
 from pipitledge.runtime.ports import Clock
