Hold tasks as far ahead as before

Hypothesis of: holds of 1.5 s and more, by need, free the tasks of a worker gone dark sooner. So it is taken back; time-outs, polls and the look at silence stay.

--- a/pipitledge/agent/holder.py
+++ b/pipitledge/agent/holder.py
@@ -41,9 +41,6 @@
 SILENCE_PAUSE_GROWTH = 2.5
 LONGEST_PAUSE_S = 2.0
 SILENT_AFTER_FAILURES = 2  # a single call may be lost on its way
-SHORTEST_HOLD_S = 1.5
-HOLD_WAITS = 3.0  # times what a poll waits that tasks are held: none lapses because one poll was lost
-HOLD_AGE_PART = 0.5  # of its age that the oldest run is held: the more would be lost, the longer
 LAPSE_CHECK_S = 0.01  # after a lapse, it is told of
 MISSED_HEARTBEATS = 3  # a worker silent in all ways for so many is left alone once its tasks have lapsed
 
@@ -134,7 +131,6 @@
         self._poll: _HoldCall | None = None
         self._quick: _HoldCall | None = None
         self._pace = PollPace()
-        self._running_since: dict[RunKey, float] = {}  # when a list showed it first
         self._held_until = 0.0  # that the worker confirmed
         self._held_from = 0.0
         self._latest_until = 0.0  # that the worker may have been given
@@ -254,7 +250,6 @@
             self._on_change(HoldChange.LEFT)
             return
         now = self._clock.now()
-        self._permit.prefer(self._hold_s(now))
         if now >= self._retry_at and not self.gave_up():
             self._send_due(life)
         self._set_timer(self._next_time())
@@ -312,11 +307,6 @@
             return self._pace.wait_s
         return min(self._pace.wait_s, max(SHORTEST_WAIT_S, WAIT_SHARE * (until - self._clock.now())))
 
-    def _hold_s(self, now: float) -> float:
-        """How far ahead tasks are held: a worker that falls silent keeps them from others for so long."""
-        oldest_s = max((now - since for since in self._running_since.values()), default=0.0)
-        return max(SHORTEST_HOLD_S, HOLD_WAITS * self._pace.wait_s, HOLD_AGE_PART * oldest_s)
-
     def _next_time(self) -> float | None:
         """When something may become due by time alone."""
         now = self._clock.now()
@@ -416,7 +406,6 @@
             news = news or self.lists.number < self._confirming <= call.number
             running = [entry.typed() for entry in answer.running]
             self.lists = Lists(call.number, call.fence, call.sent_at, running)
-            self._note_running(running)
         ended = self._take_ends(answer.finished)
         self._learn_pace(call, ended)
         news = ended or news
@@ -431,13 +420,6 @@
         elif call.poll and took_s >= call.wait_s:
             self._pace.empty(call.wait_s)
 
-    def _note_running(self, running: list[RunningTask]) -> None:
-        """Take note of when each run was first shown."""
-        now = self._clock.now()
-        known = self._running_since
-        keys = [(entry.task, entry.run) for entry in running]
-        self._running_since = {key: known.get(key, now) for key in keys}
-
     def _take_ends(self, entries: list[FinishedEntry]) -> bool:
         """Keep ends until they are acknowledged; whether one of them is new."""
         known = len(self._ends)
--- a/pipitledge/agent/permit.py
+++ b/pipitledge/agent/permit.py
@@ -17,7 +17,8 @@
 
 
 LONGEST_HOLD_S = 5.0
-"""Tasks are held so far ahead at most: as long as an agent may need to start anew."""
+"""Tasks are held so far ahead at most: as long as an agent may need to start anew, as a worker that falls silent keeps
+its tasks from others until its holds have lapsed."""
 
 
 class Permit:
@@ -27,7 +28,6 @@
         """Begin with no grant; a worker takes no deadline further than `hold_max_ms` ahead."""
         self._clock = clock
         self._longest_hold = min(LONGEST_HOLD_S, hold_max_ms / MS_PER_S)
-        self._hold_s = self._longest_hold
         self._granted_until: float | None = None
         self.grant_s = 0.0  # of the last answer; 0: none yet
 
@@ -38,16 +38,12 @@
         if self._granted_until is None or until > self._granted_until:
             self._granted_until = until
 
-    def prefer(self, hold_s: float) -> None:
-        """Hold tasks so far ahead from now on, as far as that may be."""
-        self._hold_s = min(self._longest_hold, hold_s)
-
     def until(self) -> float | None:
         """Until when tasks may be held, as things stand (agent's clock); None if that has passed or never began."""
         now = self._clock.now()
         if self._granted_until is None or self._granted_until <= now:
             return None
-        return min(now + self._hold_s, self._granted_until)
+        return min(now + self._longest_hold, self._granted_until)
 
     def deadline(self, life: Life) -> Deadline | None:
         """The furthest deadline that may be given to that life; None if there is none."""
