Let the tests of copies and relays fail without what they are for

Cause: read again with one line taken out at a time, four passed: the good end of a run unknown to a new primary, the stop of the former run, the return to it, and that agents are no relays; two of them held by another way, one had no agent. Change: the copy crawls where the former's end has to count; a step follows, so that the job does not end with the task; the record is looked at; an agent is there. Result: each of the four fails with its line out, and passes with it.

--- a/tests/system/test_copies.py
+++ b/tests/system/test_copies.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from pipitledge.wire.messages import TaskPhase
 from tests.system.scheduling_case import FIRST_TASK, JOB, LAPSE_S, SchedulingCase, body, stage
 from tests.system.worker_model import BOUNDS
 
@@ -41,6 +42,10 @@
         self.submit(JOB, body(stage(speculative=True)), work_s=3.0)
         [(node, _)] = self.await_runs(JOB)
         self.cluster.cut_agent(node, 2.0)
+        self.cluster.run(1.9)
+        [(_, record)] = self.records()
+        self.assertEqual(TaskPhase.WAITING, record.phase)  # a copy is wanted
+        self.await_that(lambda: next(self.records())[1].phase == TaskPhase.ASSIGNED, 0.9)
         self.assert_completes(JOB, 8.0)
         self.assertEqual([1], [start[2] for start in self.starts_of(JOB)])
 
@@ -53,6 +58,17 @@
         self.assertEqual([], self.cluster.runs_of(JOB))
         self.assertEqual(["stopped"], [end[3] for end in self.cluster.judge.ends if end[4] == node])
 
+    def test_the_former_run_is_stopped_while_its_job_goes_on(self) -> None:
+        self.make()
+        job = body(stage(speculative=True), stage(dependsOn=[0]))
+        self.submit(JOB, job, work_s=4.0)
+        [(node, _)] = self.await_runs(JOB)
+        self.cluster.worker(node).set_speed(0.1)
+        self.cluster.cut_agent(node, 2.0)
+        self.await_that(lambda: any(start[1] == f"{JOB}.0.1.0" for start in self.starts_of(JOB)), 10.0)
+        self.cluster.run(1.0)
+        self.assertEqual([f"{JOB}.0.1.0"], [live.task for _, live in self.cluster.runs_of(JOB)])
+
     def test_both_runs_hold_their_room_until_their_ends_are_known(self) -> None:
         node = self.begin(speculative=True)
         self.cluster.cut_agent(node, 4.0)
@@ -64,7 +80,10 @@
     def test_a_new_primary_takes_the_end_of_a_run_that_it_does_not_know(self) -> None:
         node = self.begin(speculative=True)
         self.cluster.cut_agent(node, 3.0)
-        self.cluster.run(1.6)  # a copy is wanted, and perhaps under way
+        self.await_that(lambda: len(self.starts_of(JOB)) == 2, SOON_S)
+        for worker in self.cluster.workers:
+            if worker.node != node:
+                worker.set_speed(0.01)  # the copy alone would take far longer than this test waits
         self.cluster.promote()
         self.assert_completes(JOB, 10.0)
         self.cluster.run(BOUNDS.cancel_ms / 1_000.0)
--- a/tests/system/test_detours.py
+++ b/tests/system/test_detours.py
@@ -9,6 +9,7 @@
 
 from pipitledge.membership.detours import ROUTE_VALID_S, Detours
 from pipitledge.membership.membership import Membership
+from pipitledge.membership.partial_view import LEAF_CLASS
 from pipitledge.membership.primary_caller import ATTEMPT_S, PROBE_INTERVAL_S, RELAYED_ATTEMPT_S, Outcome, PrimaryCaller
 from pipitledge.runtime.handlers import Reply
 from pipitledge.wire.messages import (
@@ -26,7 +27,8 @@
 
 PORT = 7660
 PRIMARY, RELAY, OTHER_RELAY, CALLER = "primary", "relay", "other-relay", "caller"
-NAMES = (PRIMARY, RELAY, OTHER_RELAY, CALLER)
+AGENT = "agent"
+NAMES = (PRIMARY, RELAY, OTHER_RELAY, CALLER, AGENT)
 ADDRESSES = {name: f"10.0.0.{index}:{PORT}" for index, name in enumerate(NAMES, 1)}
 VIEW = View(epoch=3, term=3, primary=PRIMARY, members=[Member(name=PRIMARY, address=ADDRESSES[PRIMARY])])
 HANDOVER_S = 0.05
@@ -38,7 +40,13 @@
     def __init__(self, process: Process) -> None:
         self.process = process
         name = process.machine.name
-        me = NodeDescriptor(name=name, address=ADDRESSES[name], counted=name == PRIMARY, incarnation=1)
+        me = NodeDescriptor(
+            name=name,
+            address=ADDRESSES[name],
+            machine_class=LEAF_CLASS if name == AGENT else "edge",
+            counted=name == PRIMARY,
+            incarnation=1,
+        )
         seeds = [ADDRESSES[RELAY], ADDRESSES[OTHER_RELAY], ADDRESSES[PRIMARY]]
         self.membership = Membership(process.clock, process.network, random.Random(1), me, seeds, PORT)
         self.membership.register(process.handlers)
@@ -163,6 +171,8 @@
 
     def test_neither_members_nor_agents_are_relays(self) -> None:
         me = self.parts[CALLER]
+        known = {node.name for node in me.membership.nodes()}
+        self.assertEqual({PRIMARY, RELAY, OTHER_RELAY, AGENT}, known)
         self.assertNotEqual("", me.detours.relay())
         self.assertEqual("", me.detours.relay((ADDRESSES[RELAY], ADDRESSES[OTHER_RELAY])))
 
