--- a/pipitledge/emulator/cluster/callers.py
+++ b/pipitledge/emulator/cluster/callers.py
@@ -6,9 +6,13 @@
 from dataclasses import dataclass
 
 from pipitledge.emulator.cluster.site import NodePlanes, Site
+from pipitledge.emulator.cluster.virtual import HEAD_BYTES
 
 WAY_S = 0.003
 LONGEST_WAY_S = 0.010
+OPERATORS_WAIT_S = 1.0  # for an answer
+LARGE_BODY_BYTES_PER_S = 200_000  # operators wait longer where their body, or the answer, is large
+LARGEST_ANSWER_BYTES = 300_000
 SILENCE, REFUSED = 0, -1  # in place of a status
 
 
@@ -66,7 +70,15 @@
         def hand(planes: NodePlanes, respond: Respond) -> None:
             planes.control.call(method, "/pipitledge/config", if_match, body, respond)
 
-        self._send(Call(node, method, if_match, body, self._world.time), hand, 1.0, done, self.lost_answers)
+        call = Call(node, method, if_match, body, self._world.time)
+        self._send(call, hand, self._operators_wait_s(call), done, self.lost_answers)
+
+    def _operators_wait_s(self, call: Call) -> float:
+        """How long an operator waits: longer for what is large, where links are thin."""
+        if not self._world.network.links:
+            return OPERATORS_WAIT_S
+        awaited = LARGEST_ANSWER_BYTES if call.method == "GET" else len(call.body)
+        return OPERATORS_WAIT_S + awaited / LARGE_BODY_BYTES_PER_S
 
     def _way(self) -> float:
         return self._world.random.uniform(WAY_S, LONGEST_WAY_S)
@@ -79,7 +91,12 @@
                 ended.append(True)
                 done(Reply(call, status, body, self._world.time))
 
+        network = self._world.network
+
         def arrive() -> None:
+            network.take_in(call.node, HEAD_BYTES + len(call.body), take)
+
+        def take() -> None:
             machine = self._site.world.machines[call.node]
             if not machine.powered:
                 return
@@ -90,7 +107,8 @@
 
             def respond(status: int, body: bytes) -> None:
                 if process.alive and self._world.random.random() >= lost:
-                    self._world.after(self._way(), lambda: end(status, body))
+                    left_at = network.left_at(call.node, HEAD_BYTES + len(body))
+                    self._world.at(left_at + self._way(), lambda: end(status, body))
 
             planes = self._site.nodes[call.node]
             process.deliver(lambda: hand(planes, respond))
--- a/pipitledge/emulator/cluster/virtual.py
+++ b/pipitledge/emulator/cluster/virtual.py
@@ -16,7 +16,9 @@
 import msgspec
 from msgspec import Struct
 
+from pipitledge.emulator.cluster.links import Link
 from pipitledge.runtime.handlers import Handlers
+from pipitledge.wire import codec
 
 Action = Callable[[], None]
 Program = Callable[["Process"], None]
@@ -26,6 +28,7 @@
 DEFAULT_JITTER = 0.002  # seconds, added at random
 DEFAULT_SYNC = 0.002  # seconds a sync of the disk takes
 DEFAULT_WALL_MS = 1_700_000_000_000  # time of day at virtual time 0
+HEAD_BYTES = 200  # of a call or an answer, beside its message
 
 
 def copied(message: AnyMessage) -> AnyMessage:
@@ -136,6 +139,7 @@
         self.datagram_loss = 0.0
         self.extra_delay: dict[tuple[str, str], float] = {}  # by names (from, to), seconds
         self.cuts: set[tuple[str, str]] = set()  # by names (from, to)
+        self.links: dict[str, Link] = {}  # by name of the machine; those that are not here carry any load at once
         self._held: dict[tuple[str, str], list[Action]] = {}
 
     def cut(self, sender: str, receiver: str, both: bool = True) -> None:
@@ -174,13 +178,31 @@
     def carry(self, sender: Machine, receiver: Machine, action: Action, message: Struct | None = None) -> None:
         """Run `action` when bytes of a connection arrive, those of `message` if they are one; a cut holds them up."""
         pair = (sender.name, receiver.name)
-        self.world.after(self.latency(pair), lambda: self._arrive(pair, action))
+        size = self._size_of(message) if self.links else 0
+        left_at = self.left_at(sender.name, size)
+        self.world.at(left_at + self.latency(pair), lambda: self._arrive(pair, size, action))
 
-    def _arrive(self, pair: tuple[str, str], action: Action) -> None:
+    def _arrive(self, pair: tuple[str, str], size: int, action: Action) -> None:
         if pair in self.cuts:
             self._held.setdefault(pair, []).append(action)
         else:
+            self.take_in(pair[1], size, action)
+
+    def _size_of(self, message: Struct | None) -> int:
+        return HEAD_BYTES + (len(codec.encode(message)) if message is not None else 0)
+
+    def left_at(self, name: str, size: int) -> float:
+        """When the last of `size` bytes has left a machine by its link."""
+        link = self.links.get(name)
+        return self.world.time if link is None else link.outward.passed_at(self.world.time, size)
+
+    def take_in(self, name: str, size: int, action: Action) -> None:
+        """Run `action` once `size` bytes that have reached a machine's link have passed it."""
+        link = self.links.get(name)
+        if link is None:
             action()
+        else:
+            self.world.at(link.inward.passed_at(self.world.time, size), action)
 
     def throw(self, sender: Machine, receiver: Machine, action: Action, message: Struct | None = None) -> None:
         """Run `action` when a datagram arrives, which holds `message`; cuts and bad luck lose it."""
