Tell of pulls without an answer, and of the sizes and times of operators' calls

Change: nodes log pulls_unanswered at each doubling and count them in their status; operator_call, configuration_applied and configuration_committed tell bytes, the first the time it took as well.

--- a/pipitledge/configuration/data_plane.py
+++ b/pipitledge/configuration/data_plane.py
@@ -35,6 +35,7 @@
 LEAST_PAUSE_SECONDS = 0.05
 PATIENCE_SHARE = 0.4  # of the time to apply a configuration, for one pull
 LONGEST_PATIENCE_SECONDS = 1.0
+FAILURES_TOLD = 4  # in a row, before the log tells of them
 
 Listener = Callable[[Configuration], None]
 
@@ -56,6 +57,7 @@
         self._timer: Timer | None = None
         self._running = False
         self._configuration: Configuration | None = None
+        self._failures = 0  # pulls without an answer, one after the other
         self._usage: QueueUsageReport | None = None
         self._usage_term = 0
         self._usage_version = -1
@@ -67,6 +69,11 @@
         """The newest configuration pulled; None before the first."""
         return self._configuration
 
+    @property
+    def failures(self) -> int:
+        """How many pulls in a row have had no answer up to now."""
+        return self._failures
+
     @property
     def usage(self) -> QueueUsageReport | None:
         """The queues' usage as last pulled; None before the first."""
@@ -118,13 +125,24 @@
         if self._running:
             pause = self._pause if isinstance(reply, PullReply) else self._pause * RETRY_SHARE
             self._pull_after(pause * self._random.uniform(1.0 - JITTER, 1.0 + JITTER))
-        if isinstance(reply, PullReply):
+        if not isinstance(reply, PullReply):
+            self._note_failure(sent_at)
+        else:
+            self._failures = 0
             self._contact_at = sent_at
             for update in reply.updates:
                 self._take(update)
             if reply.term == self._usage_term:
                 self._usage_at = sent_at
 
+    def _note_failure(self, sent_at: float) -> None:
+        """Tell of pulls that have no answer, at each doubling of their number."""
+        self._failures += 1
+        if self._failures >= FAILURES_TOLD and self._failures.bit_count() == 1:
+            version = self._configuration.version if self._configuration else 0
+            waited_s = self._clock.now() - sent_at
+            self._log.warning("pulls_unanswered", failures=self._failures, waited_s=waited_s, version=version)
+
     def _pull_after(self, pause: float) -> None:
         when = self._clock.now() + max(LEAST_PAUSE_SECONDS, pause)
         self._timer = self._clock.at(when, self._pull)
@@ -143,7 +161,9 @@
         if update.version <= held:
             return
         self._configuration = checks.parse_accepted(update.payload).configuration
-        self._log.info("configuration_applied", version=self._configuration.version, before=held)
+        self._log.info(
+            "configuration_applied", version=self._configuration.version, before=held, bytes=len(update.payload)
+        )
         for listener in self._listeners:
             listener(self._configuration)
 
--- a/pipitledge/configuration/keeper.py
+++ b/pipitledge/configuration/keeper.py
@@ -195,7 +195,12 @@
 
         def committed() -> None:
             tenure.committed = parsed
-            self._log.info("configuration_committed", version=parsed.version, routes=len(parsed.configuration.routes))
+            self._log.info(
+                "configuration_committed",
+                version=parsed.version,
+                routes=len(parsed.configuration.routes),
+                bytes=len(parsed.body),
+            )
             self._tell(parsed)
             reply(_acknowledgement(parsed.version))
 
--- a/pipitledge/emulator/cluster/site.py
+++ b/pipitledge/emulator/cluster/site.py
@@ -191,7 +191,7 @@
         readiness = Readiness(data_plane)
         admission = LocalAdmission(data_plane)
         ingress = Ingress(caller, data_plane, admission, readiness, name, log)
-        self.nodes[name] = NodePlanes(process, ingress, ControlFront(caller, log), readiness, replica)
+        self.nodes[name] = NodePlanes(process, ingress, ControlFront(process.clock, caller, log), readiness, replica)
         membership.start()
         if replica is not None:
             replica.start()
--- a/pipitledge/ingress/control_front.py
+++ b/pipitledge/ingress/control_front.py
@@ -10,6 +10,7 @@
 from pipitledge.ingress.outcomes import Answer, failure, unavailable, unknown
 from pipitledge.membership.primary_caller import Outcome
 from pipitledge.runtime.logs import EventLog
+from pipitledge.runtime.ports import Clock
 from pipitledge.wire.messages import OperatorCall, OperatorReply
 from pipitledge.wire.paths import CONFIGURATION_PATH, INSTANCES_PREFIX
 
@@ -27,8 +28,9 @@
     whoever looks at it; all else is 503 or 504, upon which the order is sent again.
     """
 
-    def __init__(self, primary_caller: CallsPrimary, log: EventLog) -> None:
+    def __init__(self, clock: Clock, primary_caller: CallsPrimary, log: EventLog) -> None:
         """Hand calls to `primary_caller`."""
+        self._clock = clock
         self._primary_caller = primary_caller
         self._log = log
         self._in_progress = 0
@@ -51,7 +53,10 @@
             return
         self._in_progress += 1
         request = OperatorCall(method, if_match, body)
-        self._primary_caller.call(request, PATIENCE_SECONDS, lambda outcome: self._ended(method, outcome, respond))
+        sent_at = self._clock.now()
+        self._primary_caller.call(
+            request, PATIENCE_SECONDS, lambda outcome: self._ended(request, sent_at, outcome, respond)
+        )
 
     def _early_refusal(self, method: str, body: bytes) -> Answer | None:
         if method not in METHODS:
@@ -62,16 +67,23 @@
             return unavailable("too many calls in progress")
         return None
 
-    def _ended(self, method: str, outcome: Outcome, respond: Respond) -> None:
+    def _ended(self, request: OperatorCall, sent_at: float, outcome: Outcome, respond: Respond) -> None:
         self._in_progress -= 1
         reply = outcome.reply
         if isinstance(reply, OperatorReply):
             answer = Answer(reply.status, reply.body)
-        elif outcome.may_have_run and method != "GET":
+        elif outcome.may_have_run and request.method != "GET":
             answer = unknown("the primary gave no answer")
         else:
             answer = unavailable("no primary answers")
-        self._log.info("operator_call", method=method, status=answer.status)
+        self._log.info(
+            "operator_call",
+            method=request.method,
+            status=answer.status,
+            bytes_in=len(request.body),
+            bytes_out=len(answer.body),
+            took_s=self._clock.now() - sent_at,
+        )
         _send(respond, answer)
 
 
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -120,7 +120,7 @@
 
     def _serve_operator(self) -> None:
         """Take the operator's calls."""
-        front = ControlFront(self._caller, logs.get("control"))
+        front = ControlFront(self._core.host, self._caller, logs.get("control"))
         options = ServerOptions("control", threads=1, most_threads=24, body_limit=MAX_BODY_BYTES, connections=256)
         self._core.serve(self._core.settings.bind.control_plane, operator_front(front), options)
 
--- a/pipitledge/programs/node_status.py
+++ b/pipitledge/programs/node_status.py
@@ -24,6 +24,7 @@
         **_configuration(data_plane.configuration),
         "ready": readiness.ready(),
         "contactAgeSeconds": round(data_plane.age_s(), 3),  # JSON has null for "never"
+        "unansweredPulls": data_plane.failures,
     }
 
 
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -564,6 +564,18 @@
         self.world.run_for(1.0)
         self.assertGreater(len(self.caller.requests), 6)
 
+    def test_pulls_without_an_answer_are_told_now_and_then(self) -> None:
+        self.committed(whole(7, route(1)), "0")
+        self.plane.start()
+        self.replicator.leased = False
+        self.world.run_for(3.0)
+        told = [fields["failures"] for event, fields in self.log.events if event == "pulls_unanswered"]
+        self.assertEqual(told, [4, 8, 16])
+        self.assertGreater(self.plane.failures, 16)
+        self.replicator.leased = True
+        self.world.run_for(0.5)
+        self.assertEqual(self.plane.failures, 0)
+
     def test_unreadable_data_is_left_aside(self) -> None:
         scripted = ScriptedCaller()
         plane = DataPlane(clock_of(World()), scripted, "n6", self.log, Bounds())
--- a/tests/system/test_ingress.py
+++ b/tests/system/test_ingress.py
@@ -292,8 +292,10 @@
 
 class ControlFrontTest(unittest.TestCase):
     def setUp(self) -> None:
+        self.world = World()
         self.caller = ScriptedCaller()
-        self.front = ControlFront(self.caller, SilentLog())
+        self.log = SilentLog()
+        self.front = ControlFront(clock_of(self.world), self.caller, self.log)
         self.heard: list[tuple[int, bytes]] = []
 
     def call(self, method: str, body: bytes = b"", path: str = "/pipitledge/config") -> None:
@@ -311,6 +313,14 @@
             self.assertEqual(self.caller.requests[-1], OperatorCall(method, "5", b"{}"))
         self.assertLess(max(self.caller.patience), 1.0)
 
+    def test_the_log_tells_sizes_and_time(self) -> None:
+        self.call("PUT", b"{}")
+        self.world.run_for(0.25)
+        self.caller.answer(OperatorReply(200, b"four"))
+        event, fields = self.log.events[-1]
+        self.assertEqual((event, fields["bytes_in"], fields["bytes_out"]), ("operator_call", 2, 4))
+        self.assertAlmostEqual(fields["took_s"], 0.25)
+
     def test_the_primary_decides(self) -> None:
         for status in (200, 400, 404, 412, 413):
             self.call("PUT")
--- a/tests/system/test_system_cli.py
+++ b/tests/system/test_system_cli.py
@@ -593,15 +593,18 @@
     def test_the_configuration_pulled_with_readiness(self) -> None:
         plane = mock.Mock(configuration=Configuration(4, (Route("q", "a.example", "/q", "s"),), (Service("s"),)))
         plane.age_s.return_value = 0.25
+        plane.failures = 3
         data_plane = cast(DataPlane, plane)
         section = node_status.data_plane_section(data_plane, Readiness(data_plane))
         self.assertEqual((section["version"], section["ready"], section["contactAgeSeconds"]), (4, True, 0.25))
+        self.assertEqual(section["unansweredPulls"], 3)
         [route] = rows_of(section, "routes")
         self.assertEqual((route["queue"], route["service"]), ("q", "s"))
 
     def test_before_the_first_contact_the_age_can_still_be_told_as_json(self) -> None:
         plane = mock.Mock(configuration=None)
         plane.age_s.return_value = float("inf")
+        plane.failures = 0
         data_plane = cast(DataPlane, plane)
         section = json.loads(msgspec.json.encode(node_status.data_plane_section(data_plane, Readiness(data_plane))))
         self.assertEqual((section["version"], section["ready"], section["contactAgeSeconds"]), (None, False, None))
