Carry large configurations over thin links: pieces, changes, packed messages, short usage

Cause: messages that grow with the configuration were sent whole within a fixed time: a pull of 280 kB never fitted through a link of 2 Mbit/s, was given up, and began anew from nothing for good, so that the link was full; orders of that length likewise; and usage told of each queue at each pull. Change: the configuration comes as the changes that a node lacks, or packed in pieces of which the rest is asked for; long messages between processes are deflated; long orders are waited for longer; usage names only queues with something in flight, and counts the others; routes are looked up by host.

--- a/pipitledge/configuration/checks.py
+++ b/pipitledge/configuration/checks.py
@@ -90,7 +90,15 @@
 
 def parse_accepted(body: bytes) -> ParsedConfiguration:
     """Read a configuration that was checked before it was taken; raises `ValueError` if it wasn't."""
-    checked = check_whole(body, current_version=0)
+    return _accepted(check_whole(body, current_version=0))
+
+
+def merge_accepted(body: bytes, current: ParsedConfiguration) -> ParsedConfiguration:
+    """Merge a change that was checked before it was taken onto what it was made for; raises `ValueError` else."""
+    return _accepted(check_change(body, current))
+
+
+def _accepted(checked: Checked) -> ParsedConfiguration:
     if isinstance(checked, InvalidConfiguration):
         raise ValueError(f"a configuration that was taken cannot be read: {checked}")
     return checked
--- a/pipitledge/configuration/data_plane.py
+++ b/pipitledge/configuration/data_plane.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from pipitledge.configuration import checks
+from pipitledge.configuration.checks import ParsedConfiguration
 from pipitledge.configuration.datasets import (
     CONFIGURATION_ORIGIN,
     QueueUsageReport,
@@ -22,11 +23,12 @@
 )
 from pipitledge.configuration.model import Configuration
 from pipitledge.configuration.primary import CallsPrimary
+from pipitledge.configuration.transfer import Received, TransferAssembly
 from pipitledge.membership.primary_caller import Outcome
 from pipitledge.runtime.logs import EventLog
 from pipitledge.runtime.ports import Clock, Timer
 from pipitledge.runtime.settings import Bounds
-from pipitledge.wire.messages import DatasetVersion, PullReply, PullRequest, Update
+from pipitledge.wire.messages import DatasetVersion, PartialTransfer, PullReply, PullRequest, Update
 
 PULL_SECONDS = 0.4  # between pulls, unless a configuration has to be applied sooner than three of them take
 PULLS_PER_APPLY = 3.0  # so that two pulls may be refused in a row; one that gets no answer takes longer
@@ -56,7 +58,8 @@
         self._listeners: list[Listener] = []
         self._timer: Timer | None = None
         self._running = False
-        self._configuration: Configuration | None = None
+        self._parsed: ParsedConfiguration | None = None
+        self._assembly = TransferAssembly()
         self._failures = 0  # pulls without an answer, one after the other
         self._usage: QueueUsageReport | None = None
         self._usage_term = 0
@@ -67,13 +70,18 @@
     @property
     def configuration(self) -> Configuration | None:
         """The newest configuration pulled; None before the first."""
-        return self._configuration
+        return self._parsed.configuration if self._parsed is not None else None
 
     @property
     def failures(self) -> int:
         """How many pulls in a row have had no answer up to now."""
         return self._failures
 
+    @property
+    def partial(self) -> PartialTransfer | None:
+        """What is held of a newer configuration that has not come whole yet."""
+        return self._assembly.partial
+
     @property
     def usage(self) -> QueueUsageReport | None:
         """The queues' usage as last pulled; None before the first."""
@@ -109,39 +117,50 @@
 
     def _pull(self) -> None:
         sent_at = self._clock.now()
-        request = PullRequest(self._my_name, self._vector())
+        request = PullRequest(self._my_name, self._vector(), self._assembly.partial)
         self._primary_caller.call(request, self._patience, lambda outcome: self._pulled(sent_at, outcome))
 
     def _vector(self) -> list[DatasetVersion]:
         vector = list[DatasetVersion]()
-        if self._configuration is not None:
-            vector.append(DatasetVersion(CONFIGURATION_ORIGIN, self._configuration.version))
+        if self._parsed is not None:
+            vector.append(DatasetVersion(CONFIGURATION_ORIGIN, self._parsed.version))
         if self._usage is not None:
             vector.append(DatasetVersion(usage_origin(self._usage_term), self._usage_version))
         return vector
 
     def _pulled(self, sent_at: float, outcome: Outcome) -> None:
         reply = outcome.reply
-        if self._running:
-            pause = self._pause if isinstance(reply, PullReply) else self._pause * RETRY_SHARE
-            self._pull_after(pause * self._random.uniform(1.0 - JITTER, 1.0 + JITTER))
-        if not isinstance(reply, PullReply):
-            self._note_failure(sent_at)
-        else:
+        if isinstance(reply, PullReply):
             self._failures = 0
             self._contact_at = sent_at
             for update in reply.updates:
                 self._take(update)
             if reply.term == self._usage_term:
                 self._usage_at = sent_at
+        else:
+            self._note_failure(sent_at)
+        if self._running:
+            self._pull_after(self._next_pause(answered=isinstance(reply, PullReply)))
+
+    def _next_pause(self, answered: bool) -> float:
+        """Seconds until the next pull; none while a newer configuration is on its way in pieces."""
+        if answered and self._assembly.partial is not None:
+            return 0.0
+        pause = self._pause if answered else self._pause * RETRY_SHARE
+        return pause * self._random.uniform(1.0 - JITTER, 1.0 + JITTER)
 
     def _note_failure(self, sent_at: float) -> None:
         """Tell of pulls that have no answer, at each doubling of their number."""
         self._failures += 1
         if self._failures >= FAILURES_TOLD and self._failures.bit_count() == 1:
-            version = self._configuration.version if self._configuration else 0
-            waited_s = self._clock.now() - sent_at
-            self._log.warning("pulls_unanswered", failures=self._failures, waited_s=waited_s, version=version)
+            partial = self._assembly.partial
+            self._log.warning(
+                "pulls_unanswered",
+                failures=self._failures,
+                waited_s=self._clock.now() - sent_at,
+                version=self._parsed.version if self._parsed is not None else 0,
+                partial_bytes=partial.offset if partial is not None else 0,
+            )
 
     def _pull_after(self, pause: float) -> None:
         when = self._clock.now() + max(LEAST_PAUSE_SECONDS, pause)
@@ -157,15 +176,23 @@
             self._log.error("dataset_unreadable", origin=update.origin, version=update.version, reason=error)
 
     def _take_configuration(self, update: Update) -> None:
-        held = self._configuration.version if self._configuration else 0
-        if update.version <= held:
+        if update.total:
+            received = self._assembly.take(update)
+        else:
+            received = Received(update.base, update.version, update.payload)
+        held = self._parsed.version if self._parsed else 0
+        if received is None or received.version <= held:
+            return
+        if received.base == 0:
+            parsed = checks.parse_accepted(received.payload)
+        elif self._parsed is not None and received.base == held:
+            parsed = checks.merge_accepted(received.payload, self._parsed)
+        else:
             return
-        self._configuration = checks.parse_accepted(update.payload).configuration
-        self._log.info(
-            "configuration_applied", version=self._configuration.version, before=held, bytes=len(update.payload)
-        )
+        self._parsed = parsed
+        self._log.info("configuration_applied", version=parsed.version, before=held, bytes=len(received.payload))
         for listener in self._listeners:
-            listener(self._configuration)
+            listener(parsed.configuration)
 
     def _take_usage(self, update: Update) -> None:
         term = usage_term(update.origin)
--- a/pipitledge/configuration/datasets.py
+++ b/pipitledge/configuration/datasets.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 from msgspec import Struct
+from msgspec.structs import replace
 
 from pipitledge.decision.admission import QueueUsage
-from pipitledge.wire.messages import DatasetVersion, Update
+from pipitledge.wire.messages import DatasetVersion
 
 CONFIGURATION_ORIGIN = "config"
 USAGE_ORIGIN = "usage"
@@ -20,33 +21,58 @@
 UsageSource = Callable[[], tuple[int, bytes]]  # the version of the usage and its payload
 
 
+IDLE_QUEUES = ""  # stands among usages for all queues in which nothing is in flight; no route has that name
+
+
 class QueueFigures(Struct, frozen=True, omit_defaults=True):
-    """What one queue uses, and may use for each turn of the pool's slots; in slots."""
+    """What one queue that is not idle uses."""
 
-    inflight: float = 0.0
-    limit: float = 0.0
-    reservation: float = 0.0
+    inflight: float = 0.0  # slots
     priority: int = 0  # 0 goes first
 
 
 class PoolFigures(Struct, frozen=True, omit_defaults=True):
-    """The queues that share the workers of one service, and those workers."""
+    """The queues that share the workers of one service, and those workers.
+
+    Idle queues are only counted, so that the figures grow with what is in use and not with the configuration: all nodes
+    pull them again and again.
+    """
 
     capacity: float = 0.0  # slots of all workers
-    queues: dict[str, QueueFigures] = {}  # by name of the route
+    queue_limit: float = 0.0  # slots that one queue may use, for each turn of the pool's
+    queue_reservation: float = 0.0  # slots that are kept for one queue, for each turn of the pool's
+    busy: dict[str, QueueFigures] = {}  # by name of the route
+    idle: dict[int, int] = {}  # how many queues, by priority
     workers: int = 0
     cpu: int = 0  # of a mean worker, as are the next two; thousandths of a core
     memory_mb: int = 0
     gpu: int = 0
     late_factor: float = 0.0  # up to so many times its objective a job still earns
 
-    def usages(self, priority: int) -> dict[str, QueueUsage]:
-        """The queues that go before or beside a job of that priority, as admission takes them."""
-        return {
-            name: QueueUsage(figures.inflight, figures.limit, figures.reservation)
-            for name, figures in self.queues.items()
+    def usages(self, priority: int, turns: float = 1.0) -> dict[str, QueueUsage]:
+        """The queues that go before or beside a job of that priority, as admission takes them in so many turns."""
+        limit, reservation = self.queue_limit * turns, self.queue_reservation * turns
+        usages = {
+            name: QueueUsage(figures.inflight, limit, reservation)
+            for name, figures in self.busy.items()
             if figures.priority <= priority
         }
+        idle = sum(count for level, count in self.idle.items() if level <= priority)
+        usages[IDLE_QUEUES] = QueueUsage(0.0, limit, idle * reservation)
+        return usages
+
+    def with_more(self, more: Mapping[str, QueueFigures]) -> PoolFigures:
+        """The figures with more in flight in some queues."""
+        if not more:
+            return self
+        busy, idle = dict(self.busy), dict(self.idle)
+        for name, added in more.items():
+            known = busy.get(name)
+            if known is None:
+                idle[added.priority] = max(0, idle.get(added.priority, 0) - 1)
+            before = known.inflight if known is not None else 0.0
+            busy[name] = QueueFigures(before + added.inflight, added.priority)
+        return replace(self, busy=busy, idle=idle)
 
 
 class QueueUsageReport(Struct, frozen=True):
@@ -76,19 +102,6 @@
     return int(term) if name == USAGE_ORIGIN and term.isascii() and term.isdigit() else None
 
 
-class Dataset(Struct, frozen=True):
-    """One origin's data at one version, and how to get its payload."""
-
-    origin: str
-    version: int
-    payload: bytes
-
-
-def newer_than(vector: Sequence[DatasetVersion], datasets: Sequence[Dataset]) -> list[Update]:
-    """What a node with that version vector lacks of `datasets`."""
-    held = {component.origin: component.version for component in vector}
-    return [
-        Update(dataset.origin, dataset.version, dataset.payload)
-        for dataset in datasets
-        if dataset.version > held.get(dataset.origin, -1)
-    ]
+def held_versions(vector: Sequence[DatasetVersion]) -> dict[str, int]:
+    """The versions that a node with that version vector holds, by origin."""
+    return {component.origin: component.version for component in vector}
--- a/pipitledge/configuration/keeper.py
+++ b/pipitledge/configuration/keeper.py
@@ -19,12 +19,12 @@
 from pipitledge.configuration.checks import InvalidConfiguration, ParsedConfiguration
 from pipitledge.configuration.datasets import (
     CONFIGURATION_ORIGIN,
-    Dataset,
     UsageSource,
-    newer_than,
+    held_versions,
     usage_origin,
 )
 from pipitledge.configuration.model import Configuration
+from pipitledge.configuration.transfer import TransferSource
 from pipitledge.replication.interface import Replicator
 from pipitledge.runtime.handlers import Handlers, Reply
 from pipitledge.runtime.logs import EventLog
@@ -37,6 +37,7 @@
     OperatorReply,
     PullReply,
     PullRequest,
+    Update,
     Write,
 )
 
@@ -70,6 +71,7 @@
 
     written: ParsedConfiguration | None = None  # by the last write, committed or not
     committed: ParsedConfiguration | None = None
+    transfers: TransferSource = field(default_factory=lambda: TransferSource(CONFIGURATION_ORIGIN))  # the committed
     changes: OrderedDict[str, ChangeRecord] = field(default_factory=OrderedDict)  # by digest, in their order
     next_order: int = 1
 
@@ -121,6 +123,7 @@
         if body is not None:
             parsed = checks.parse_accepted(decode_record(body, ConfigurationRecord).body)
             tenure.written = tenure.committed = parsed
+            tenure.transfers.renew(parsed.version, parsed.body)
             self._tell(parsed)
         self._log.info("configuration_taken_over", term=term, version=tenure.version, changes=len(records))
 
@@ -160,7 +163,7 @@
             self._log.info("configuration_refused", status=outcome.status, reason=outcome.body.decode())
             self._answer(tenure, reply, outcome)
             return
-        self._take(tenure, digest, outcome, reply)
+        self._take(tenure, call, digest, outcome, reply)
 
     def _judge(self, tenure: _Tenure, call: OperatorCall) -> ParsedConfiguration | OperatorReply:
         """The configuration that the call would bring about, or why it doesn't."""
@@ -179,7 +182,9 @@
             return _refusal(BAD_REQUEST, str(checked))
         return checked
 
-    def _take(self, tenure: _Tenure, digest: str, parsed: ParsedConfiguration, reply: Reply) -> None:
+    def _take(
+        self, tenure: _Tenure, call: OperatorCall, digest: str, parsed: ParsedConfiguration, reply: Reply
+    ) -> None:
         """Write the change; once that is committed, it is in force and acknowledged."""
         change = ChangeRecord(parsed.version, digest, tenure.next_order)
         writes = [
@@ -195,6 +200,7 @@
 
         def committed() -> None:
             tenure.committed = parsed
+            tenure.transfers.renew(parsed.version, parsed.body, call.body if call.method == "PATCH" else None)
             self._log.info(
                 "configuration_committed",
                 version=parsed.version,
@@ -223,16 +229,14 @@
         if tenure is None:
             reply(NotPrimary(self._replicator.view))
             return
-        updates = newer_than(request.vector, self._datasets(tenure))
-        reply(PullReply(self._replicator.term, updates, self._replicator.view))
-
-    def _datasets(self, tenure: _Tenure) -> list[Dataset]:
-        datasets = list[Dataset]()
-        if tenure.committed is not None:
-            datasets.append(Dataset(CONFIGURATION_ORIGIN, tenure.committed.version, tenure.committed.body))
+        held = held_versions(request.vector)
+        updates = tenure.transfers.updates(held.get(CONFIGURATION_ORIGIN, 0), request.partial)
         if self._usage is not None:
-            datasets.append(Dataset(usage_origin(self._replicator.term), *self._usage()))
-        return datasets
+            version, payload = self._usage()
+            origin = usage_origin(self._replicator.term)
+            if version > held.get(origin, -1):
+                updates.append(Update(origin, version, payload))
+        reply(PullReply(self._replicator.term, updates, self._replicator.view))
 
     # ---- common
 
--- a/pipitledge/configuration/model.py
+++ b/pipitledge/configuration/model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import cached_property
+
 from msgspec import Struct
 
 
@@ -37,7 +39,7 @@
     idle_timeout_ms: int = 0
 
 
-class Configuration(Struct, frozen=True):
+class Configuration(Struct, frozen=True, dict=True):
     """One version, whole."""
 
     version: int
@@ -49,9 +51,16 @@
         """The route of that name."""
         return next((route for route in self.routes if route.name == name), None)
 
+    @cached_property
+    def _routes_by_host(self) -> dict[str, list[Route]]:
+        """The routes of each host in lower case, those with the longest prefix first."""
+        by_host: dict[str, list[Route]] = {}
+        for route in sorted(self.routes, key=lambda route: -len(route.path_prefix)):
+            by_host.setdefault(route.host.lower(), []).append(route)
+        return by_host
+
     def match(self, host: str, path: str) -> Route | None:
         """The route with that host (in any case) and the longest prefix of that path; a port in `host` is ignored."""
         bare = host.rsplit(":", 1)[0] if ":" in host else host
-        bare = bare.lower()
-        fitting = [route for route in self.routes if route.host.lower() == bare and path.startswith(route.path_prefix)]
-        return max(fitting, key=lambda route: len(route.path_prefix), default=None)
+        fitting = self._routes_by_host.get(bare.lower(), ())
+        return next((route for route in fitting if path.startswith(route.path_prefix)), None)
--- a/pipitledge/emulator/cluster/virtual.py
+++ b/pipitledge/emulator/cluster/virtual.py
@@ -17,6 +17,7 @@
 from msgspec import Struct
 
 from pipitledge.emulator.cluster.links import Link
+from pipitledge.runtime import message_body
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.wire import codec
 
@@ -189,7 +190,8 @@
             self.take_in(pair[1], size, action)
 
     def _size_of(self, message: Struct | None) -> int:
-        return HEAD_BYTES + (len(codec.encode(message)) if message is not None else 0)
+        """Bytes that a call or an answer takes on its way, as processes send it."""
+        return HEAD_BYTES + (len(message_body.pack(codec.encode(message)).data) if message is not None else 0)
 
     def left_at(self, name: str, size: int) -> float:
         """When the last of `size` bytes has left a machine by its link."""
--- a/pipitledge/ingress/control_front.py
+++ b/pipitledge/ingress/control_front.py
@@ -8,14 +8,15 @@
 from pipitledge.configuration.checks import MAX_BODY_BYTES
 from pipitledge.configuration.primary import CallsPrimary
 from pipitledge.ingress.outcomes import Answer, failure, unavailable, unknown
-from pipitledge.membership.primary_caller import Outcome
+from pipitledge.membership.primary_caller import Outcome, passage_s
 from pipitledge.runtime.logs import EventLog
 from pipitledge.runtime.ports import Clock
 from pipitledge.wire.messages import OperatorCall, OperatorReply
 from pipitledge.wire.paths import CONFIGURATION_PATH, INSTANCES_PREFIX
 
 METHODS = ("GET", "PUT", "PATCH")
-PATIENCE_SECONDS = 0.85  # callers move on after a second of silence; an answer that comes before that is heard
+# Callers move on after a second of silence, later where they sent much; an answer that comes before that is heard.
+PATIENCE_SECONDS = 0.85
 MOST_CALLS = 32  # in progress at once; operators have eight at most
 
 Respond = Callable[[int, bytes], None]  # status, body
@@ -54,9 +55,8 @@
         self._in_progress += 1
         request = OperatorCall(method, if_match, body)
         sent_at = self._clock.now()
-        self._primary_caller.call(
-            request, PATIENCE_SECONDS, lambda outcome: self._ended(request, sent_at, outcome, respond)
-        )
+        patience = PATIENCE_SECONDS + passage_s(request)
+        self._primary_caller.call(request, patience, lambda outcome: self._ended(request, sent_at, outcome, respond))
 
     def _early_refusal(self, method: str, body: bytes) -> Answer | None:
         if method not in METHODS:
--- a/pipitledge/ingress/local_admission.py
+++ b/pipitledge/ingress/local_admission.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, defaultdict
+from collections import OrderedDict
 
 from msgspec import Struct
 
 from pipitledge.configuration.data_plane import DataPlane
-from pipitledge.configuration.datasets import PoolFigures
+from pipitledge.configuration.datasets import PoolFigures, QueueFigures
 from pipitledge.configuration.model import Route
 from pipitledge.scheduling.admission_rule import decide
 from pipitledge.scheduling.job import Rejection, is_job_id, parse_submission
@@ -29,6 +29,7 @@
     retry_after_ms: int = 0
     queue: str = ""
     weight: float = 0.0
+    priority: int = 0
     mark: Mark | None = None  # of the usage by which it was judged; None: by none
 
 
@@ -42,7 +43,7 @@
         """Judge by the usage that `data_plane` pulls."""
         self._data_plane = data_plane
         self._mark = data_plane.usage_mark
-        self._let_in: defaultdict[str, float] = defaultdict(float)  # weight by queue, since the usage of `_mark`
+        self._let_in: dict[str, QueueFigures] = {}  # by queue, since the usage of `_mark`
         self._handed_on: OrderedDict[str, None] = OrderedDict()  # IDs; any of them may have been accepted
 
     def judge(self, route: Route, job_id: str, body: bytes) -> Judgement:
@@ -56,7 +57,8 @@
         """Count a job that the primary has accepted, unless usage that came meanwhile may contain it."""
         self._forget_if_counted()
         if judgement.mark == self._mark:
-            self._let_in[judgement.queue] += judgement.weight
+            before = self._let_in.get(judgement.queue, QueueFigures()).inflight
+            self._let_in[judgement.queue] = QueueFigures(before + judgement.weight, judgement.priority)
 
     def _judge(self, route: Route, job_id: str, body: bytes) -> Judgement:
         pool = self._pool(route)
@@ -66,7 +68,9 @@
         if isinstance(submission, Rejection):
             return LEFT_TO_PRIMARY
         verdict = decide(pool, route, submission, self._let_in)
-        return Judgement(not verdict.admitted, verdict.retry_after_ms, route.name, verdict.weight, self._mark)
+        return Judgement(
+            not verdict.admitted, verdict.retry_after_ms, route.name, verdict.weight, route.priority, self._mark
+        )
 
     def _pool(self, route: Route) -> PoolFigures | None:
         """The pool that the route's queue belongs to, by fresh usage."""
@@ -74,8 +78,7 @@
         report = self._data_plane.usage
         if report is None or self._data_plane.usage_age_s() >= FRESH_SECONDS:
             return None
-        pool = report.pools.get(route.service)
-        return pool if pool is not None and route.name in pool.queues else None
+        return report.pools.get(route.service)
 
     def _remember(self, job_id: str) -> None:
         self._handed_on[job_id] = None
--- a/pipitledge/membership/primary_caller.py
+++ b/pipitledge/membership/primary_caller.py
@@ -18,10 +18,12 @@
 from pipitledge.membership.membership import Membership
 from pipitledge.runtime.handlers import Reply
 from pipitledge.runtime.ports import Clock, Network, ReplyHandler, Timer
-from pipitledge.wire.messages import NotPrimary, View
+from pipitledge.wire.messages import NotPrimary, OperatorCall, View
 
 ATTEMPT_S = 0.8
-"""Longest wait for one node."""
+"""Longest wait for one node, but for what a long request takes on its way."""
+LONG_BODY_BYTES_PER_S = 500_000
+"""At which a long request is expected to pass the link of a node, packed."""
 SHORTEST_ATTEMPT_S = 0.001
 """Where patience is all but over; its end does not wait for the attempt's."""
 FIRST_PAUSE_S = 0.03
@@ -47,6 +49,11 @@
 OutcomeHandler = Callable[[Outcome], None]
 
 
+def passage_s(request: Struct) -> float:
+    """Seconds that a request may be on its way for its length, beside the time that any request may take."""
+    return len(request.body) / LONG_BODY_BYTES_PER_S if isinstance(request, OperatorCall) else 0.0
+
+
 class _Call:
     """One call under way."""
 
@@ -257,6 +264,7 @@
         attempt = call.attempt
         searches = candidate != self._primary
         longest_s = RELAYED_ATTEMPT_S if candidate.relay and searches else ATTEMPT_S
+        longest_s += passage_s(call.request)
         timeout = max(SHORTEST_ATTEMPT_S, min(call.deadline - self._clock.now(), longest_s))
 
         def take(reply: Struct | None) -> None:
--- a/pipitledge/runtime/exchanges.py
+++ b/pipitledge/runtime/exchanges.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from pipitledge.runtime import message_body
 from pipitledge.runtime.answers import Answer
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.host import Host
@@ -14,6 +15,7 @@
 
 INTERNAL_PATH = "/pipitledge/internal"
 INTERNAL_ANSWER_SECONDS = 4.0
+LARGEST_MESSAGE = 64 * 1024 * 1024  # bytes; repairs and snapshots of state are the long ones
 NO_ANSWER = HttpResponse(504, b'{"reason":"no answer in time"}', {"Connection": "close"})
 FAILED = HttpResponse(500, b'{"reason":"internal error"}')
 NOT_POST = HttpResponse(405, b'{"reason":"only POST"}', {"Allow": "POST"})
@@ -54,24 +56,29 @@
         if request.method != "POST":
             return NOT_POST
         try:
-            message = codec.decode(request.body)
-        except codec.WireError as error:
+            encoding = request.headers.get(message_body.CONTENT_ENCODING.lower(), "")
+            message = codec.decode(message_body.unpack(request.body, encoding, LARGEST_MESSAGE))
+        except (codec.WireError, message_body.PackingError) as error:
             self._log.warning("malformed_message", peer=request.peer, reason=error)
             return HttpResponse(400, b'{"reason":"malformed message"}')
-        return self._answer(message, request.peer, request.headers.get(CALL_ID_HEADER.lower(), ""))
+        return self._answer(message, request)
 
-    def _answer(self, message: Struct, peer: str, call_id: str) -> HttpResponse:
+    def _answer(self, message: Struct, request: HttpRequest) -> HttpResponse:
         """Hand the message over and wait; the answer names the call that it is for."""
         answer = Answer[HttpResponse]()
+        call_id = request.headers.get(CALL_ID_HEADER.lower(), "")
         headers = {"Content-Type": "application/octet-stream", CALL_ID_HEADER: call_id}
+        may_pack = request.headers.get(message_body.ACCEPT_ENCODING.lower(), "") == message_body.DEFLATE
 
         def reply(result: Struct) -> None:
-            answer.give(HttpResponse(200, codec.encode(result), headers))
+            body = codec.encode(result)
+            packed = message_body.pack(body) if may_pack else message_body.PackedBody(body, {})
+            answer.give(HttpResponse(200, packed.data, {**headers, **packed.headers}))
 
         def hand_over() -> None:
             if not self._handlers.call(message, reply):
                 answer.give(HttpResponse(404, b'{"reason":"no handler for this message"}'))
 
-        if not self._host.run(hand_over, type(message).__name__, peer):
+        if not self._host.run(hand_over, type(message).__name__, request.peer):
             answer.give(FAILED)
         return answer.wait(INTERNAL_ANSWER_SECONDS) or NO_ANSWER
--- a/pipitledge/runtime/transport.py
+++ b/pipitledge/runtime/transport.py
@@ -7,9 +7,10 @@
 
 from msgspec import Struct
 
+from pipitledge.runtime import message_body
 from pipitledge.runtime.call_threads import CallLimits
 from pipitledge.runtime.datagrams import Datagrams
-from pipitledge.runtime.exchanges import INTERNAL_PATH, InternalExchange
+from pipitledge.runtime.exchanges import INTERNAL_PATH, LARGEST_MESSAGE, InternalExchange
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.host import Host
 from pipitledge.runtime.http_calls import OK, CallResult, HttpCalls, OutgoingCall
@@ -18,7 +19,6 @@
 from pipitledge.runtime.ports import ReplyHandler
 from pipitledge.wire import codec
 
-LARGEST_MESSAGE = 64 * 1024 * 1024  # bytes; repairs and snapshots of state are the long ones
 IDLE_SECONDS = 120.0  # peers keep their connections
 LIFE_BYTES = 6
 
@@ -83,8 +83,9 @@
             on_reply(self._decoded(result, request, address))
 
         call_id = f"{self._life}-{next(self._call_numbers)}"
-        body = codec.encode(request)
-        self._calls.post(OutgoingCall(address, INTERNAL_PATH, body, timeout, call_id=call_id), on_result)
+        body = message_body.pack(codec.encode(request))
+        headers = {**message_body.ACCEPTS_DEFLATE, **body.headers}
+        self._calls.post(OutgoingCall(address, INTERNAL_PATH, body.data, timeout, headers, call_id), on_result)
 
     def datagram(self, address: str, message: Struct) -> None:
         """Send once over UDP; may be lost."""
--- a/pipitledge/scheduling/admission.py
+++ b/pipitledge/scheduling/admission.py
@@ -5,10 +5,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from pipitledge.configuration.datasets import PoolFigures, QueueFigures, QueueUsageReport
-from pipitledge.configuration.model import Route
+from pipitledge.configuration.model import Configuration, Route
 from pipitledge.scheduling.admission_rule import Verdict, decide, job_weight
-from pipitledge.scheduling.context import LOWEST_PRIORITY, Context
+from pipitledge.scheduling.context import Context
 from pipitledge.scheduling.job import Submission
 from pipitledge.scheduling.objectives import LATE_FACTOR
 from pipitledge.scheduling.workers import ServiceRoom
@@ -17,6 +19,7 @@
 LIMIT_PART = 1.0  # of capacity, that one queue may use up
 SETTLING_S = 3.0  # a new primary has heard of all workers by then
 SLOT_DIGITS = 3  # after the point, of slots in the figures
+NO_QUEUES = Counter[int]()
 
 
 class Admission:
@@ -25,6 +28,8 @@
     def __init__(self, context: Context) -> None:
         """Work on the shared state."""
         self._context = context
+        self._counted_of: Configuration | None = None
+        self._counted = ServiceQueues(None)
 
     def decide(self, route: Route, submission: Submission) -> Verdict:
         """Whether a job of that queue is taken in now."""
@@ -32,20 +37,20 @@
         self._weigh_old_jobs()
         if self._unknown(room):
             return Verdict(True, self.weigh(route.service, submission))
-        return decide(self._pool(room, self._queues_of(route)), route, submission, {})
+        return decide(self._pool(route.service, room), route, submission)
 
     def weigh(self, service: str, submission: Submission) -> float:
         """The slots that a job counts for; 0 while no worker is known."""
-        return job_weight(submission, self._pool(self._context.room(service), []))
+        return job_weight(submission, self._pool(service, self._context.room(service)))
 
     def usage(self) -> QueueUsageReport:
         """What all queues use and may use; pools whose workers aren't known yet are left out."""
         self._weigh_old_jobs()
         pools = dict[str, PoolFigures]()
-        for service, queues in self._queues_by_service().items():
+        for service in self._queues().by_service:
             room = self._context.room(service)
             if not self._unknown(room):
-                pools[service] = self._pool(room, queues)
+                pools[service] = self._pool(service, room)
         return QueueUsageReport(pools, self._context.next_order)
 
     def _weigh_old_jobs(self) -> None:
@@ -67,40 +72,52 @@
         active_s = context.clock.now() - context.activated_at
         return active_s < SETTLING_S or (not room.slots and active_s < context.figures.lapse_s)
 
-    def _queues_by_service(self) -> dict[str, list[str]]:
-        """The queues that share the workers of each service."""
+    def _queues(self) -> ServiceQueues:
+        """The queues by the service whose workers they share; counted once for each configuration."""
         configuration = self._context.ports.configuration()
-        queues = dict[str, list[str]]()
-        for route in configuration.routes if configuration is not None else ():
-            queues.setdefault(route.service, []).append(route.name)
-        return queues
-
-    def _queues_of(self, route: Route) -> list[str]:
-        """The queues that share the workers of the route's service."""
-        queues = self._queues_by_service().get(route.service, [])
-        return queues if route.name in queues else [*queues, route.name]
-
-    def _priority_of(self, queue: str) -> int:
-        """Priority of a queue, 0 going first."""
-        route = self._context.route(queue)
-        return LOWEST_PRIORITY if route is None else route.priority
-
-    def _pool(self, room: ServiceRoom, queues: list[str]) -> PoolFigures:
-        """What each queue of a service uses and may use, and what there is."""
-        inflight = self._context.inflight
-        limit = round(LIMIT_PART * room.slots, SLOT_DIGITS)
-        reservation = round(RESERVED_PART * room.slots / max(1, len(queues)), SLOT_DIGITS)
+        if configuration is not self._counted_of:
+            self._counted_of = configuration
+            self._counted = ServiceQueues(configuration)
+        return self._counted
+
+    def _pool(self, service: str, room: ServiceRoom) -> PoolFigures:
+        """What the queues of a service use and may use, and what there is."""
+        queues = self._queues()
+        idle = Counter(queues.by_service.get(service, NO_QUEUES))
+        count = idle.total()
+        busy = dict[str, QueueFigures]()
+        for name, inflight in self._context.inflight.items():
+            route = queues.busy_route(name, service)
+            slots = round(inflight, SLOT_DIGITS)
+            if route is not None and slots > 0.0:
+                busy[name] = QueueFigures(slots, route.priority)
+                idle[route.priority] -= 1
         return PoolFigures(
             capacity=float(room.slots),
-            queues={
-                queue: QueueFigures(
-                    round(inflight.get(queue, 0.0), SLOT_DIGITS), limit, reservation, self._priority_of(queue)
-                )
-                for queue in queues
-            },
+            queue_limit=round(LIMIT_PART * room.slots, SLOT_DIGITS),
+            queue_reservation=RESERVED_PART * room.slots / max(1, count),
+            busy=busy,
+            idle=dict(idle),
             workers=room.workers,
             cpu=room.capacity.cpu,
             memory_mb=room.capacity.memory_mb,
             gpu=room.capacity.gpu,
             late_factor=LATE_FACTOR,
         )
+
+
+class ServiceQueues:
+    """The queues of one configuration, counted by service and priority."""
+
+    def __init__(self, configuration: Configuration | None) -> None:
+        """Count them."""
+        routes = configuration.routes if configuration is not None else ()
+        self._routes = {route.name: route for route in routes}
+        self.by_service: dict[str, Counter[int]] = {}  # how many queues of each priority
+        for route in routes:
+            self.by_service.setdefault(route.service, Counter())[route.priority] += 1
+
+    def busy_route(self, name: str, service: str) -> Route | None:
+        """The route of that name, if it is one of the service's."""
+        route = self._routes.get(name)
+        return route if route is not None and route.service == service else None
--- a/pipitledge/scheduling/admission_rule.py
+++ b/pipitledge/scheduling/admission_rule.py
@@ -12,15 +12,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from pipitledge.configuration.datasets import PoolFigures
+from pipitledge.configuration.datasets import PoolFigures, QueueFigures
 from pipitledge.configuration.model import Route
-from pipitledge.decision.admission import QueueUsage, admit
+from pipitledge.decision.admission import admit
 from pipitledge.scheduling.job import Stage, Submission, estimated_lengths_s, remaining_chains_s, waves_of
 
 LEAST_DEPTH = 4.0  # times its slots that a service takes in at least
 SHORTEST_RETRY_MS = 200
 LONGEST_RETRY_MS = 1_500
 LEAST_CHAIN_S = 1e-3
+NOTHING_LET_IN: Mapping[str, QueueFigures] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,20 +33,24 @@
     retry_after_ms: int = 0
 
 
-def decide(pool: PoolFigures, route: Route, submission: Submission, let_in: Mapping[str, float]) -> Verdict:
-    """Whether a job of that queue is taken in; `let_in`: by queue, weight in flight that `pool` doesn't contain."""
+def decide(
+    pool: PoolFigures, route: Route, submission: Submission, let_in: Mapping[str, QueueFigures] = NOTHING_LET_IN
+) -> Verdict:
+    """Whether a job of that queue is taken in; `let_in`: by queue, what is in flight that `pool` doesn't contain."""
+    pool = pool.with_more(let_in)
     weight = job_weight(submission, pool)
-    inflight = pool.queues[route.name].inflight + let_in.get(route.name, 0.0)
-    if inflight <= 0.0:
+    own = pool.busy.get(route.name)
+    if own is None or own.inflight <= 0.0:
         return Verdict(True, weight)  # an idle queue's job is taken whatever its size
     lengths = estimated_lengths_s(submission.stages, _waves(submission, pool))
     chain_s = max(remaining_chains_s(submission.stages, lengths))
     turns = depth(route, chain_s, pool.late_factor)
     capacity = pool.capacity * turns
-    decision = admit(weight, route.name, _usages(pool, route.priority, turns, let_in), capacity)
+    usages = pool.usages(max(route.priority, own.priority), turns)
+    decision = admit(weight, route.name, usages, capacity)
     if decision.admitted:
         return Verdict(True, weight)
-    excess = max(0.0, inflight + weight - capacity) / max(1.0, pool.capacity)
+    excess = max(0.0, own.inflight + weight - capacity) / max(1.0, pool.capacity)
     retry_ms = int(min(LONGEST_RETRY_MS, max(SHORTEST_RETRY_MS, excess * chain_s * 1_000.0)))
     return Verdict(False, weight, retry_ms)
 
@@ -74,14 +79,6 @@
     return max(LEAST_DEPTH, late_factor * objective_s / max(chain_s, LEAST_CHAIN_S))
 
 
-def _usages(pool: PoolFigures, priority: int, turns: float, let_in: Mapping[str, float]) -> dict[str, QueueUsage]:
-    """What each queue that goes before or beside that priority uses, and may use in so many turns of the slots."""
-    return {
-        name: QueueUsage(usage.inflight + let_in.get(name, 0.0), usage.limit * turns, usage.reservation * turns)
-        for name, usage in pool.usages(priority).items()
-    }
-
-
 def _waves(submission: Submission, pool: PoolFigures) -> tuple[float, ...]:
     """In how many waves each step runs, by the workers there are."""
     return tuple(waves_of(stage, share_of(stage, pool), pool.workers) for stage in submission.stages)
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -360,19 +360,34 @@
     version: int = 0
 
 
+class PartialTransfer(Struct):
+    """What a data plane node holds of a transfer that is not complete."""
+
+    origin: str = ""
+    base: int = 0  # the version that the transfer changes; 0: it is whole
+    version: int = 0
+    digest: int = 0  # of the transfer's bytes
+    offset: int = 0  # bytes held
+
+
 class PullRequest(Struct):
     """A data plane node asks for what it is missing."""
 
     node: str = ""
     vector: list[DatasetVersion] = []
+    partial: PartialTransfer | None = None
 
 
 class Update(Struct):
-    """One dataset whole, at one version."""
+    """A dataset at one version as it is, or, with a `total`, a piece of its packed transfer."""
 
     origin: str = ""
     version: int = 0
     payload: bytes = b""
+    base: int = 0  # the version that the transfer changes; 0: it is whole
+    digest: int = 0  # of the transfer's bytes
+    offset: int = 0  # of this piece
+    total: int = 0  # bytes of the transfer; 0: the payload is the dataset as it is
 
 
 class PullReply(Struct):
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -2,9 +2,11 @@
 
 import json
 import unittest
+from collections import Counter
+from random import Random
 from unittest import mock
 
-from pipitledge.configuration import checks, keeper
+from pipitledge.configuration import checks, keeper, transfer
 from pipitledge.configuration.checks import InvalidConfiguration, ParsedConfiguration
 from pipitledge.configuration.data_plane import DataPlane
 from pipitledge.configuration.datasets import PoolFigures, QueueFigures, QueueUsageReport
@@ -601,10 +603,56 @@
         self.assertEqual(len(scripted.requests), 1)
 
 
+class FollowingTest(PullCase):
+    """Nodes that are brought up to date by changes, pieces and wholes hold what the primary holds."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.random = Random(3)
+
+    def some_change(self, version: int) -> bytes:
+        """A change as some operator might write it."""
+        numbers = self.random.sample(range(40), 3)
+        upserted = [route(number, timeoutMs=self.random.randint(1, 9), hue=version) for number in numbers[:2]]
+        fields: dict[str, object] = {"upsert": {"routes": upserted, "services": None}}
+        if self.random.random() < 0.5:
+            fields["remove"] = {"routes": [f"r{numbers[2]}"]}
+        if self.random.random() < 0.3:
+            fields |= {"limits": {"maxBodyBytes": version}, "colour": version}
+        return change(version, **fields)
+
+    def order(self, version: int) -> None:
+        """Have a change taken, or now and then a whole configuration."""
+        if version == 1 or self.random.random() < 0.1:
+            self.committed(whole(version, *[route(number) for number in range(30)]), str(version - 1))
+            return
+        self.operator.patch(self.some_change(version), str(version - 1))
+        self.replicator.commit()
+        self.assertEqual(self.operator.statuses[-1], 200)
+
+    def test_every_field_follows(self) -> None:
+        kinds = Counter[bool]()
+        pieces = mock.patch.object(transfer, "PIECE_BYTES", 200)
+        pieces.start()
+        self.addCleanup(pieces.stop)
+        self.plane.start()
+        for version in range(1, 120):
+            self.order(version)
+            if self.random.random() < 0.1:
+                self.take_over()
+                self.keeper.register(self.handlers)
+            if self.random.random() < 0.4:
+                self.world.run_for(3.0)
+                assert self.plane._parsed is not None
+                self.assertEqual(self.plane._parsed.raw, json.loads(self.operator.get().replies[-1].body))  # type: ignore[attr-defined]
+            kinds.update(update.base == 0 for update in self.replies()[0].updates)
+        self.assertEqual([], [fields for event, fields in self.log.events if event == "dataset_unreadable"])
+        self.assertGreater(min(kinds[True], kinds[False]), 10)
+
+
 class UsageTest(PullCase):
     def usage(self, inflight: float) -> bytes:
-        queues = {"r1": QueueFigures(inflight, 10.0, 2.0)}
-        return QueueUsageReport({"s1": PoolFigures(20.0, queues)}).encode()
+        return QueueUsageReport({"s1": PoolFigures(20.0, 10.0, 2.0, {"r1": QueueFigures(inflight)})}).encode()
 
     def inflight(self) -> float:
         assert self.plane.usage is not None
--- a/tests/system/test_ingress.py
+++ b/tests/system/test_ingress.py
@@ -10,11 +10,12 @@
 from pipitledge.configuration.data_plane import DataPlane
 from pipitledge.configuration.datasets import PoolFigures, QueueFigures, QueueUsageReport, usage_origin
 from pipitledge.ingress import control_front, ingress
-from pipitledge.ingress.control_front import ControlFront
+from pipitledge.ingress.control_front import PATIENCE_SECONDS, ControlFront
 from pipitledge.ingress.ingress import Ingress
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.outcomes import RETRY_AFTER_MS
 from pipitledge.ingress.readiness import CONTACT_SECONDS, Readiness
+from pipitledge.membership.primary_caller import LONG_BODY_BYTES_PER_S
 from pipitledge.runtime.settings import Bounds
 from pipitledge.scheduling.admission_rule import LEAST_DEPTH, SHORTEST_RETRY_MS
 from pipitledge.wire.messages import (
@@ -211,9 +212,9 @@
 
     def configure_usage(self, inflight: float) -> None:
         """Answer the pull that waits with the usage of queue r1, which may use ten slots; r2 is idle."""
-        limit = 10.0 / LEAST_DEPTH
-        queues = {"r1": QueueFigures(inflight, limit, 0.5), "r2": QueueFigures(0.0, limit, 0.5)}
-        report = QueueUsageReport({"s1": PoolFigures(20.0, queues, workers=4, cpu=5_000)}).encode()
+        busy = {"r1": QueueFigures(inflight)}
+        pool = PoolFigures(20.0, 10.0 / LEAST_DEPTH, 0.5, busy, {0: 1}, workers=4, cpu=5_000)
+        report = QueueUsageReport({"s1": pool}).encode()
         updates = [Update("config", 7, whole(7, route(1), route(2))), Update(usage_origin(1), 1, report)]
         self.pulls.answer(PullReply(1, updates))
 
@@ -313,6 +314,10 @@
             self.assertEqual(self.caller.requests[-1], OperatorCall(method, "5", b"{}"))
         self.assertLess(max(self.caller.patience), 1.0)
 
+    def test_a_long_order_is_waited_for_longer(self) -> None:
+        self.call("PUT", b" " * (2 * LONG_BODY_BYTES_PER_S))
+        self.assertAlmostEqual(self.caller.patience[-1], PATIENCE_SECONDS + 2.0)
+
     def test_the_log_tells_sizes_and_time(self) -> None:
         self.call("PUT", b"{}")
         self.world.run_for(0.25)
--- a/tests/system/test_local_admission.py
+++ b/tests/system/test_local_admission.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import unittest
+from collections import Counter
 from typing import Any
 from unittest import mock
 
@@ -91,13 +92,12 @@
 
     def pull(self, version: int = 1, **inflight: float) -> None:
         """Have the node pull the usage of the two queues; each may use 40 slots, 8 of them are reserved."""
-        queues = {
-            route.name: QueueFigures(
-                inflight.get(route.name, 0.0), 40.0 / LEAST_DEPTH, 8.0 / LEAST_DEPTH, route.priority
-            )
-            for route in ROUTES
+        busy = {
+            route.name: QueueFigures(inflight[route.name], route.priority) for route in ROUTES if route.name in inflight
         }
-        pool = PoolFigures(20.0, queues, workers=4, cpu=5_000, memory_mb=8_192, gpu=4)
+        idle = dict(Counter(route.priority for route in ROUTES if route.name not in inflight))
+        limit, reservation = 40.0 / LEAST_DEPTH, 8.0 / LEAST_DEPTH
+        pool = PoolFigures(20.0, limit, reservation, busy, idle, workers=4, cpu=5_000, memory_mb=8_192, gpu=4)
         self.node.pull(1, version, QueueUsageReport({SERVICE: pool}).encode())
 
     def refused(self, slots: int, number: int = 1, route: Route = PLAIN) -> bool:
@@ -251,14 +251,15 @@
         self.cluster.run(USAGE_VALID_S)
         pool = self.report().pools[SERVICE]
         self.assertEqual((pool.capacity, pool.workers, pool.cpu), (4.0 * SLOTS_A_WORKER, 4, 8_000))
-        self.assertEqual(pool.queues["plain"], QueueFigures(8.0, 32.0, 8.0, priority=PLAIN.priority))
-        self.assertEqual(pool.queues["urgent"], QueueFigures(0.0, 32.0, 8.0, priority=URGENT.priority))
+        self.assertEqual((pool.queue_limit, pool.queue_reservation), (32.0, 8.0))
+        self.assertEqual(pool.busy, {"plain": QueueFigures(8.0, priority=PLAIN.priority)})
+        self.assertEqual({level: count for level, count in pool.idle.items() if count}, {URGENT.priority: 1})
 
     def test_weight_returns_when_a_job_ends(self) -> None:
         self.admits(1, {"stages": [{"count": 4, "cpu": 2_000}]}, PLAIN)
         self.cluster.cancel(job_id(1))
         self.cluster.run(USAGE_VALID_S)
-        self.assertEqual(self.report().pools[SERVICE].queues["plain"].inflight, 0.0)
+        self.assertEqual(self.report().pools[SERVICE].busy, {})
 
     def test_nothing_is_published_until_the_workers_are_known(self) -> None:
         self.cluster.promote()
@@ -313,8 +314,8 @@
     def test_routes_that_are_gone_are_left_out(self) -> None:
         self.cluster.configuration = Configuration(2, (PLAIN,), (Service(SERVICE),))
         self.cluster.run(USAGE_VALID_S)
-        self.assertEqual(list(self.report().pools[SERVICE].queues), ["plain"])
-        self.assertEqual(self.report().pools[SERVICE].queues["plain"].reservation, 16.0)
+        pool = self.report().pools[SERVICE]
+        self.assertEqual((pool.busy, pool.idle, pool.queue_reservation), ({}, {PLAIN.priority: 1}, 16.0))
 
 
 class SameDecisionTest(PrimaryCase):
@@ -363,7 +364,7 @@
             cpu, memory, gpu = rng.choice([0, 8_000]), rng.choice([0, 16_384]), rng.choice([0, 4])
             stage = Stage(cpu=rng.randint(0, 9_000), memory_limit_mb=rng.randint(0, 20_000), gpu=rng.randint(0, 5))
             room = ServiceRoom(4, 32, Demand(cpu, memory, gpu))
-            pool = PoolFigures(32.0, {}, workers=4, cpu=cpu, memory_mb=memory, gpu=gpu)
+            pool = PoolFigures(32.0, workers=4, cpu=cpu, memory_mb=memory, gpu=gpu)
             self.assertEqual(share_of(stage, pool), room.share_of(demand_of(stage)))
 
     def test_ingress_loads_nothing_that_is_the_primarys_alone(self) -> None:
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -6,6 +6,7 @@
 import unittest
 from functools import partial
 from typing import cast
+from unittest import mock
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -19,7 +20,7 @@
     Membership,
 )
 from pipitledge.membership.partial_view import LEAF_CLASS, OTHER_DISK_AFTER_S, YOUNGER_BY_S, PartialView
-from pipitledge.membership.primary_caller import ATTEMPT_S, Outcome, PrimaryCaller
+from pipitledge.membership.primary_caller import ATTEMPT_S, LONG_BODY_BYTES_PER_S, Outcome, PrimaryCaller
 from pipitledge.runtime.handlers import Reply
 from pipitledge.runtime.ports import Clock
 from pipitledge.wire.codec import encode
@@ -29,6 +30,7 @@
     Member,
     NodeDescriptor,
     NotPrimary,
+    OperatorCall,
     Shuffle,
     StatusRequest,
     View,
@@ -501,6 +503,16 @@
             self.assertEqual(self.call_and_wait(), Outcome(ClientReply(status=203), may_have_run=False))
         self.assertEqual(self.asked(), [0, 0, 0, 3, 0])
 
+    def test_a_long_request_is_waited_for_longer(self) -> None:
+        self.membership.offer_view(view_of(1, 3))
+        timeouts: list[float] = []
+        with mock.patch.object(
+            self.process.network, "call", lambda to, request, timeout, done: timeouts.append(timeout)
+        ):
+            for size in (0, LONG_BODY_BYTES_PER_S):
+                self.caller.call(OperatorCall("PUT", "", bytes(size)), 10.0, self.outcomes.append)
+        self.assertAlmostEqual(timeouts[1] - timeouts[0], 1.0)
+
     def test_not_primary_leads_to_the_new_one(self) -> None:
         self.membership.offer_view(view_of(1, 3))
         self.make_primary(4, 2)
--- /dev/null
+++ b/tests/system/test_message_body.py
@@ -0,0 +1,110 @@
+"""Long messages are deflated on their way between processes; whoever can't take that is not sent it."""
+
+from __future__ import annotations
+
+import random
+import unittest
+import zlib
+from unittest import mock
+
+from msgspec import Struct
+
+from pipitledge.runtime import message_body
+from pipitledge.runtime.exchanges import INTERNAL_PATH, InternalExchange
+from pipitledge.runtime.handlers import Handlers
+from pipitledge.runtime.host import Host
+from pipitledge.runtime.http_types import HttpRequest, HttpResponse
+from pipitledge.runtime.transport import Transport
+from pipitledge.wire import codec
+from pipitledge.wire.messages import OperatorCall, OperatorReply
+from tests.system.configuration_world import SilentLog, route, whole
+from tests.system.runtime_case import LOG, LOOPBACK, PATIENCE, Box
+
+LONG = whole(7, *[route(number) for number in range(500)])
+LARGEST = 1 << 20
+
+
+class PackTest(unittest.TestCase):
+    def test_long_bodies_get_shorter_and_come_back(self) -> None:
+        packed = message_body.pack(LONG)
+        self.assertLess(len(packed.data), len(LONG) // 5)
+        encoding = packed.headers[message_body.CONTENT_ENCODING]
+        self.assertEqual(message_body.unpack(packed.data, encoding, LARGEST), LONG)
+
+    def test_short_ones_and_noise_stay_as_they_are(self) -> None:
+        for body in (b"", b"x" * (message_body.PACK_FROM_BYTES - 1), random.Random(1).randbytes(10_000)):
+            packed = message_body.pack(body)
+            self.assertEqual((packed.data, packed.headers), (body, {}))
+            self.assertEqual(message_body.unpack(packed.data, "", LARGEST), body)
+
+    def test_what_is_broken_or_too_large_is_refused(self) -> None:
+        data = message_body.pack(LONG).data
+        for broken, encoding, largest in (
+            (data[:-1], "deflate", LARGEST),
+            (b"no such format", "deflate", LARGEST),
+            (data, "br", LARGEST),
+            (data, "deflate", len(LONG) - 1),
+        ):
+            with self.assertRaises(message_body.PackingError):
+                message_body.unpack(broken, encoding, largest)
+
+
+class ExchangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        handlers = Handlers()
+        handlers.on_call(OperatorCall, lambda call, reply: reply(OperatorReply(200, call.body)))
+        self.exchange = InternalExchange(Host(SilentLog()), handlers, SilentLog())
+
+    def ask(self, body: bytes, **headers: str) -> HttpResponse:
+        return self.exchange(HttpRequest("POST", INTERNAL_PATH, headers=headers, body=body))
+
+    def test_only_who_asks_for_it_gets_a_packed_answer(self) -> None:
+        call = codec.encode(OperatorCall("PUT", "", LONG))
+        plain = self.ask(call)
+        self.assertEqual(codec.decode(plain.body), OperatorReply(200, LONG))
+        packed = self.ask(call, **{"accept-encoding": "deflate"})
+        self.assertEqual(packed.headers["Content-Encoding"], "deflate")
+        self.assertEqual(codec.decode(zlib.decompress(packed.body)), OperatorReply(200, LONG))
+
+    def test_a_body_that_can_not_be_unpacked_is_malformed(self) -> None:
+        call = codec.encode(OperatorCall("PUT", "", LONG))
+        self.assertEqual(self.ask(call, **{"content-encoding": "deflate"}).status, 400)
+
+
+class SocketTest(unittest.TestCase):
+    """Two processes' transports on loopback."""
+
+    def setUp(self) -> None:
+        self.host = Host(LOG)
+        self.host.start()
+        self.addCleanup(self.host.stop)
+
+    def transport(self) -> Transport:
+        handlers = Handlers()
+        handlers.on_call(OperatorCall, lambda call, reply: reply(OperatorReply(200, call.body)))
+        transport = Transport(self.host, handlers, LOG)
+        transport.bind(LOOPBACK, (0, 0))
+        transport.start()
+        self.addCleanup(transport.stop)
+        return transport
+
+    def test_a_long_call_and_its_answer_come_whole_and_packed(self) -> None:
+        server, client = self.transport(), self.transport()
+        lengths: list[int] = []
+        exchange = InternalExchange.__call__
+
+        def measured(self: InternalExchange, request: HttpRequest) -> HttpResponse:
+            response = exchange(self, request)
+            lengths.extend((len(request.body), len(response.body)))
+            return response
+
+        reply = Box[Struct | None]()
+        with mock.patch.object(InternalExchange, "__call__", measured):
+            client.call(server.address, OperatorCall("PATCH", "7", LONG), PATIENCE, reply.put)
+            self.assertEqual(reply.take(), OperatorReply(200, LONG))
+        self.assertEqual(len(lengths), 2)
+        self.assertLess(max(lengths), len(LONG) // 5)
+
+
+if __name__ == "__main__":
+    unittest.main()
