Soak runs: signals to ending and new processes, large changes, a read-back at each node

Cause: soak runs sent no second SIGTERM, no SIGHUP to a process that was new or about to end, and left their processes when killed; the last configuration was not read back, and none was large. A process that SIGHUP ends before the interpreter has run a line of it is noted, not counted: nothing of ours runs by then, and it has taken no call.

--- a/pipitledge/emulator/soak/operator.py
+++ b/pipitledge/emulator/soak/operator.py
@@ -5,7 +5,9 @@
 import http.client
 import json
 import threading
+import time
 from random import Random
+from typing import Any
 
 from pipitledge.emulator.cluster.deployment import Queue
 from pipitledge.emulator.soak.plan import MachinePlan, SoakPlan
@@ -15,6 +17,9 @@
 ANSWER_SECONDS = 1.5
 RETRY_SECONDS = 0.2
 MOST_TRIES = 60  # of one order, each at another node
+LARGE_SHARE = 0.15  # of the changes that bring very many routes as well
+LARGE_ROUTES = 1_440
+READ_SECONDS = 10.0  # for each node to read the newest configuration back
 SUCCESS, CONFLICT = 200, 412
 
 
@@ -53,9 +58,12 @@
             queue = Queue(
                 f"p{self._probes}", f"/p{self._probes}/", base.service, 1, base.max_attempts, base.stretch, 1_000
             )
+            routes = [queue.document()]
+            if self._random.random() < LARGE_SHARE:
+                routes += self._many_routes(base)
             document = {
                 "version": self._version + 1,
-                "upsert": {"routes": [queue.document()]},
+                "upsert": {"routes": routes},
                 "remove": {"routes": [f"p{self._probes - 1}"]},
             }
             taken = self._order("PATCH", document)
@@ -63,6 +71,30 @@
         if not taken and not self._stopped.is_set():
             self._record.find("CONFIG", f"version {document['version']} was not acknowledged in {MOST_TRIES} tries")
 
+    def _many_routes(self, base: Queue) -> list[dict[str, Any]]:
+        """The same names each time, so that the configuration grows once and changes all over later."""
+        timeout_ms = 1_000 + self._probes
+        return [
+            {**base.document(), "name": f"w{number}", "pathPrefix": f"/w{number}/", "timeoutMs": timeout_ms}
+            for number in range(LARGE_ROUTES)
+        ]
+
+    def read_back(self) -> None:
+        """Note a finding for each node that does not answer with the newest configuration acknowledged."""
+        for node in self._plan.nodes:
+            give_up_at = time.monotonic() + READ_SECONDS
+            version = self._read_version(node)
+            while version is None and time.monotonic() < give_up_at:
+                self._stopped.wait(RETRY_SECONDS)
+                version = self._read_version(node)
+            if version is None or version < self._version:
+                self._record.find("CONFIG", f"{node.name} read back version {version}, acknowledged is {self._version}")
+
+    def _read_version(self, node: MachinePlan) -> int | None:
+        """The version that a node answers; None where it gives no clear answer."""
+        status, body = self._call(node, "GET", b"")
+        return int(json.loads(body)["version"]) if status == SUCCESS else None
+
     def stop(self) -> None:
         """Give up what is under way."""
         self._stopped.set()
@@ -79,11 +111,16 @@
         return False
 
     def _send(self, node: MachinePlan, method: str, body: bytes) -> int:
+        return self._call(node, method, body)[0]
+
+    def _call(self, node: MachinePlan, method: str, body: bytes) -> tuple[int, bytes]:
+        """Status and body of the answer; 0 if there is none."""
         connection = http.client.HTTPConnection(node.control_plane, timeout=ANSWER_SECONDS)
         try:
             connection.request(method, CONFIGURATION_PATH, body, {"If-Match": str(self._version)})
-            return connection.getresponse().status
+            response = connection.getresponse()
+            return response.status, response.read()
         except (OSError, http.client.HTTPException):
-            return 0
+            return 0, b""
         finally:
             connection.close()
--- a/pipitledge/emulator/soak/planned_work.py
+++ b/pipitledge/emulator/soak/planned_work.py
@@ -12,8 +12,7 @@
 from pipitledge.emulator.soak.processes import MachineProcess
 from pipitledge.emulator.soak.record import Record
 
-# A process that has not taken over its signals yet is ended by SIGHUP, whatever it would do later.
-RELOAD_AFTER_SECONDS = 3.0
+STARTING_SECONDS = 3.0  # within which most stops leave a new process alone; reloads don't
 TERMINATE_EARLY_SHARE = 0.2  # of the stops that come while the process is still starting
 SERIES_SHARE = 0.4  # of the pauses that are left out, so that the next piece overlaps
 CATCH_UP_SECONDS = 4.0  # that a counted node may take after its start; only one is out at a time
@@ -46,7 +45,13 @@
         return [node.control_plane for node in random.sample(self._plan.nodes, SEEDS)]
 
     def _next(self) -> None:
-        pieces = ((5, self._stop_node), (1, self._stop_agent), (2, self._reload), (2, self._change))
+        pieces = (
+            (5, self._stop_node),
+            (1, self._stop_agent),
+            (1, self._stop_again),
+            (3, self._reload),
+            (2, self._change),
+        )
         weights = [weight for weight, _ in pieces]
         self._random.choices([piece for _, piece in pieces], weights)[0]()
 
@@ -68,7 +73,7 @@
 
     def _stop(self, machine: MachinePlan) -> None:
         process = self._processes[machine.name]
-        if not self._may_be_early(machine) and time.monotonic() - process.started_at < RELOAD_AFTER_SECONDS:
+        if not self._may_be_early(machine) and time.monotonic() - process.started_at < STARTING_SECONDS:
             return
         if process.terminate(self._plan.deployment.bounds.grace_s):
             self._record.note(f"SIGTERM to {machine.name}")
@@ -77,13 +82,22 @@
         """Whether a process that is still starting may be told to end."""
         return not machine.counted and self._random.random() < TERMINATE_EARLY_SHARE
 
+    def _stop_again(self) -> None:
+        """Send one more SIGTERM to a process that is ending, if there is one."""
+        ending = [name for name, process in self._processes.items() if process.terminated_at is not None]
+        if ending:
+            name = self._random.choice(ending)
+            if self._processes[name].terminate_again():
+                self._record.note(f"SIGTERM once more to {name}")
+
     def _reload(self) -> None:
+        """Change some machine's settings file and tell its process, which may be new, or about to end."""
         machine = self._random.choice(self._plan.machines)
         process = self._processes[machine.name]
-        if time.monotonic() - process.started_at >= RELOAD_AFTER_SECONDS:
-            process.rewrite_settings()
-            process.reload()
-            self._record.note(f"SIGHUP to {machine.name}")
+        age_s = time.monotonic() - process.started_at
+        state = "ending" if process.terminated_at is not None else f"{age_s:.1f} s old"
+        if process.reload():
+            self._record.note(f"SIGHUP to {machine.name}, {state}")
 
     def _change(self) -> None:
         threading.Thread(target=self._operator.change, name="change", daemon=True).start()
--- a/pipitledge/emulator/soak/processes.py
+++ b/pipitledge/emulator/soak/processes.py
@@ -21,6 +21,7 @@
 STACKS_SECONDS = 0.3  # for a stuck process to write the stacks of its threads
 END_SECONDS = 10.0  # for processes that are ended with the run
 BEGAN, FINISHED = b" started node=", b" ended node="  # in the log of a process
+CHILD_MODULE = "pipitledge.emulator.soak.child"
 ROOT = Path(__file__).resolve().parents[3]
 
 
@@ -52,7 +53,7 @@
         self._write_settings = write_settings
         self._on_end = on_end
         self._process: subprocess.Popen[bytes] | None = None
-        self._lock = threading.Lock()
+        self._lock = threading.RLock()
         self._asked_at: float | None = None
         self._log_start = 0  # where the log of the present process begins, in bytes
         self._stacks_asked = False
@@ -79,15 +80,27 @@
 
     def rewrite_settings(self, bootstrap: bool = False) -> None:
         """Put a new settings file in the place of the old one, whole."""
-        fresh = self.folder / "local.new"
-        fresh.write_text(self._write_settings(bootstrap))
-        fresh.replace(self.settings_path)
+        with self._lock:
+            fresh = self.folder / "local.new"
+            fresh.write_text(self._write_settings(bootstrap))
+            fresh.replace(self.settings_path)
+
+    def reload(self) -> bool:
+        """Change the settings file and send SIGHUP, whatever the process is doing; False if there is none."""
+        with self._lock:
+            self.rewrite_settings()
+            return self._signal(signal.SIGHUP)
 
-    def reload(self) -> None:
-        """Send SIGHUP."""
+    def terminate_again(self) -> bool:
+        """Send one more SIGTERM to a process that has got one; False if there is none."""
         with self._lock:
-            if self._process is not None and self._asked_at is None:
-                self._process.send_signal(signal.SIGHUP)
+            return self._asked_at is not None and self._signal(signal.SIGTERM)
+
+    def _signal(self, number: signal.Signals) -> bool:
+        if self._process is None or self._process.poll() is not None:
+            return False
+        self._process.send_signal(number)
+        return True
 
     def terminate(self, grace_s: float) -> bool:
         """Send SIGTERM, and SIGKILL after `grace_s`; False if its end is under way already."""
@@ -128,7 +141,11 @@
         with self._log_path.open("ab") as log:
             self._log_start = log.tell()
             self._process = subprocess.Popen(
-                [sys.executable, "-m", self.plan.module], stdout=log, stderr=log, env=environment, cwd=ROOT
+                [sys.executable, "-m", CHILD_MODULE, str(os.getpid()), self.plan.module],
+                stdout=log,
+                stderr=log,
+                env=environment,
+                cwd=ROOT,
             )
         self.started_at = time.monotonic()
         self._stacks_asked = False
--- a/pipitledge/emulator/soak/record.py
+++ b/pipitledge/emulator/soak/record.py
@@ -14,7 +14,9 @@
 from pipitledge.emulator.soak.connection import CallEnd, Outcome
 from pipitledge.emulator.soak.processes import ProcessEnd
 
-TERMINATED = -15  # exit code of a process that SIGTERM ended before it had taken over its signals
+# Exit codes of processes that a signal ended before they had taken over their signals.
+TERMINATED = -15
+HUNG_UP = -1
 
 
 class Finding(Struct, frozen=True):
@@ -90,9 +92,13 @@
     def process_ended(self, end: ProcessEnd) -> None:
         """A process has ended.
 
-        One that was told to end before it took any call may end by the signal itself. One that was done in time may be
-        there for longer while the kernel ends it: it waits for a write to a disk that has stalled.
+        One that got a signal before it took any call may end by the signal itself: the interpreter needs a while until
+        it runs the first line of the program, from which on SIGHUP is ignored at least. One that was done in time may
+        be there for longer while the kernel ends it: it waits for a write to a disk that has stalled.
         """
+        if end.asked_at is None and end.exit_code == HUNG_UP and not end.began:
+            self.note(f"{end.machine} ended by SIGHUP before it began")
+            return
         if end.asked_at is None:
             self.find("ENDED", f"{end.machine} ended by itself with {end.exit_code}")
             return
@@ -100,7 +106,7 @@
         self.note(f"{end.machine} ended {took:.2f} s after SIGTERM with {end.exit_code}")
         if end.killed and not end.finished:
             self.find("KILLED", f"{end.machine} was still there {took:.1f} s after SIGTERM")
-        elif end.exit_code and not end.finished and (end.began or end.exit_code != TERMINATED):
+        elif end.exit_code and not end.finished and (end.began or end.exit_code not in (TERMINATED, HUNG_UP)):
             self.find("ENDED", f"{end.machine} ended {took:.2f} s after SIGTERM with {end.exit_code}")
 
     # ---- workers
--- a/pipitledge/emulator/soak/run.py
+++ b/pipitledge/emulator/soak/run.py
@@ -97,6 +97,7 @@
         self._wait_until_ready(self.plan.deployment.bounds.recovery_s)
         clients.stop()
         Closing(self.plan, self.record).account()
+        self._operator.read_back()
 
     def _wait_until_ready(self, seconds: float) -> bool:
         return wait_until_ready(self._platform, self.processes, self.record, seconds)
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -4,8 +4,13 @@
 
 import contextlib
 import io
+import os
 import select
+import signal
 import socket
+import subprocess
+import sys
+import tempfile
 import threading
 import unittest
 from pathlib import Path
@@ -17,10 +22,11 @@
 from pipitledge.emulator.soak.closing import Closing
 from pipitledge.emulator.soak.connection import CallEnd, KeptConnection, Outcome, parse_answer
 from pipitledge.emulator.soak.plan import Load, draw_plan, settings_text
-from pipitledge.emulator.soak.processes import ProcessEnd
-from pipitledge.emulator.soak.record import TERMINATED, Finding, Record
+from pipitledge.emulator.soak.processes import ROOT, MachineProcess, ProcessEnd
+from pipitledge.emulator.soak.record import HUNG_UP, TERMINATED, Finding, Record
 from pipitledge.emulator.soak.run import SoakVerdict, play_seeds
 from pipitledge.runtime.settings import Settings, parse
+from tests.system.runtime_case import PATIENCE
 
 
 class PlanTest(unittest.TestCase):
@@ -133,6 +139,13 @@
         self.assertEqual(self.end(TERMINATED, began=True, finished=False), ["ENDED"])
         self.assertEqual(self.end(1, began=False, finished=False), ["ENDED"])
 
+    def test_a_process_that_has_not_begun_may_end_by_a_reload(self) -> None:
+        """Until the interpreter runs the first line of a program, nobody can have it ignore the signal."""
+        self.assertEqual(self.end(HUNG_UP, asked=False, began=False, finished=False), [])
+        self.assertEqual(self.end(HUNG_UP, began=False, finished=False), [])
+        self.assertEqual(self.end(HUNG_UP, asked=False, finished=False), ["ENDED"])
+        self.assertEqual(self.end(HUNG_UP, finished=False), ["ENDED"])
+
     def test_a_process_that_was_done_may_be_held_up_by_the_kernel(self) -> None:
         """Seen with disks that stalled: `ended` after 5.5 s, a thread amid a sync, and gone after 6.3 s."""
         self.assertEqual(self.end(-9, killed=True, finished=True), [])
@@ -196,6 +209,67 @@
         self.assertIn(f"shown as completed, but {self.job.id}.0.0.0 has not ended so", finding)
 
 
+class ChildTest(unittest.TestCase):
+    """A process of a run that is killed."""
+
+    RUN = """
+import os, subprocess, sys
+argument = sys.argv[1]
+child = [sys.executable, "-m", "pipitledge.emulator.soak.child", str(os.getpid()), "tests.system.soak_child"]
+process = subprocess.Popen(child, pass_fds=(int(argument),), env={**os.environ, "HELD": argument})
+process.wait()
+"""
+
+    def test_it_goes_with_the_run(self) -> None:
+        read, held = os.pipe()
+        self.addCleanup(os.close, read)
+        soak_run = subprocess.Popen([sys.executable, "-c", self.RUN, str(held)], pass_fds=(held,), cwd=ROOT)
+        os.close(held)
+        self.assertEqual(os.read(read, 5), b"began")
+        soak_run.kill()
+        soak_run.wait()
+        readable, _, _ = select.select([read], [], [], PATIENCE)
+        self.assertEqual(readable, [read], "the process is still there")
+        self.assertEqual(os.read(read, 1), b"")
+
+
+class MachineProcessTest(unittest.TestCase):
+    """Signals to a process that is new, or about to end."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.ends: list[ProcessEnd] = []
+        plan = draw_plan(1, Load()).agents[0]
+        self.machine = MachineProcess(plan, Path(folder.name), lambda first: f"first = {first}", self.ends.append)
+        self.sent: list[signal.Signals] = []
+        self.process = mock.Mock()
+        self.process.poll.return_value = None
+        self.process.send_signal.side_effect = self.sent.append
+        self.machine._process = self.process
+
+    def test_a_reload_comes_whatever_the_process_does(self) -> None:
+        self.assertTrue(self.machine.reload())
+        self.assertTrue(self.machine.terminate(6.0))
+        self.assertTrue(self.machine.reload())
+        self.assertEqual(self.sent, [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP])
+        self.assertEqual(self.machine.settings_path.read_text(), "first = False")
+
+    def test_a_second_order_to_end_comes_to_one_that_is_ending(self) -> None:
+        self.assertFalse(self.machine.terminate_again())
+        self.machine.terminate(6.0)
+        self.assertFalse(self.machine.terminate(6.0))
+        self.assertTrue(self.machine.terminate_again())
+        self.assertEqual(self.sent, [signal.SIGTERM, signal.SIGTERM])
+
+    def test_none_is_sent_to_a_process_that_is_gone(self) -> None:
+        self.machine.terminate(6.0)
+        self.process.poll.return_value = 0
+        self.assertFalse(self.machine.reload())
+        self.assertFalse(self.machine.terminate_again())
+        self.assertEqual(self.sent, [signal.SIGTERM])
+
+
 class ShortRunsTest(unittest.TestCase):
     """Real processes, for a minute; longer ones by `pipitledge experiment soak`."""
 
