--- a/tests/system/virtual.py
+++ b/tests/system/virtual.py
@@ -1,13 +1,11 @@
 """The world in virtual time that tests of the system use."""
 
+from pipitledge.emulator.cluster.disks import DiskModel, Recovered, VirtualDisk
 from pipitledge.emulator.cluster.virtual import (
-    DiskModel,
     Fabric,
     Machine,
     Process,
-    Recovered,
     VirtualClock,
-    VirtualDisk,
     VirtualNetwork,
     VirtualTimer,
     World,
