Send processes of an earlier version only what they understand

Cause: deflated requests and pieces of the configuration would have been malformed to processes of the version before: while versions change, a new primary could have committed no long entry, and old nodes would have kept an old configuration. Change: a process deflates requests to an address whose last answer said Accept-Encoding: deflate; nodes say that they take pieces, all others get the configuration as it is.

--- a/pipitledge/configuration/data_plane.py
+++ b/pipitledge/configuration/data_plane.py
@@ -117,7 +117,7 @@
 
     def _pull(self) -> None:
         sent_at = self._clock.now()
-        request = PullRequest(self._my_name, self._vector(), self._assembly.partial)
+        request = PullRequest(self._my_name, self._vector(), self._assembly.partial, takes_pieces=True)
         self._primary_caller.call(request, self._patience, lambda outcome: self._pulled(sent_at, outcome))
 
     def _vector(self) -> list[DatasetVersion]:
--- a/pipitledge/configuration/keeper.py
+++ b/pipitledge/configuration/keeper.py
@@ -230,7 +230,7 @@
             reply(NotPrimary(self._replicator.view))
             return
         held = held_versions(request.vector)
-        updates = tenure.transfers.updates(held.get(CONFIGURATION_ORIGIN, 0), request.partial)
+        updates = self._configuration_updates(tenure, held.get(CONFIGURATION_ORIGIN, 0), request)
         if self._usage is not None:
             version, payload = self._usage()
             origin = usage_origin(self._replicator.term)
@@ -238,6 +238,12 @@
                 updates.append(Update(origin, version, payload))
         reply(PullReply(self._replicator.term, updates, self._replicator.view))
 
+    def _configuration_updates(self, tenure: _Tenure, held: int, request: PullRequest) -> list[Update]:
+        committed = tenure.committed
+        if request.takes_pieces or committed is None:
+            return tenure.transfers.updates(held, request.partial)
+        return [Update(CONFIGURATION_ORIGIN, committed.version, committed.body)] if committed.version > held else []
+
     # ---- common
 
     def _serving(self) -> _Tenure | None:
--- a/pipitledge/runtime/exchanges.py
+++ b/pipitledge/runtime/exchanges.py
@@ -67,12 +67,16 @@
         """Hand the message over and wait; the answer names the call that it is for."""
         answer = Answer[HttpResponse]()
         call_id = request.headers.get(CALL_ID_HEADER.lower(), "")
-        headers = {"Content-Type": "application/octet-stream", CALL_ID_HEADER: call_id}
+        headers = {
+            "Content-Type": "application/octet-stream",
+            CALL_ID_HEADER: call_id,
+            **message_body.ACCEPTS_DEFLATE,  # in an answer: deflated requests are understood (RFC 9110, 12.5.3)
+        }
         may_pack = request.headers.get(message_body.ACCEPT_ENCODING.lower(), "") == message_body.DEFLATE
 
         def reply(result: Struct) -> None:
             body = codec.encode(result)
-            packed = message_body.pack(body) if may_pack else message_body.PackedBody(body, {})
+            packed = message_body.pack(body, may_pack)
             answer.give(HttpResponse(200, packed.data, {**headers, **packed.headers}))
 
         def hand_over() -> None:
--- a/pipitledge/runtime/http_calls.py
+++ b/pipitledge/runtime/http_calls.py
@@ -14,6 +14,7 @@
 
 from pipitledge.runtime.call_threads import CallLimits, CallOutcome, CallThreads, PendingCall
 from pipitledge.runtime.host import Host
+from pipitledge.runtime.message_body import ACCEPT_ENCODING, DEFLATE
 from pipitledge.runtime.timers import ScheduledAction
 
 CONNECT_SECONDS = 0.5
@@ -33,6 +34,7 @@
 
     status: int = 0
     body: bytes = b""
+    takes_deflated: bool = False  # the peer says that it understands deflated requests
     refused: bool = False  # nothing listens at the address: no connection was made
     reason: str = ""  # why there is no answer
 
@@ -139,7 +141,8 @@
             return CallResult(reason=f"answer to another call, {answered}")
         if call.call_id and not answered and response.status == OK:
             return CallResult(reason="answer that names no call")
-        return CallResult(response.status, response.data)
+        takes_deflated = response.headers.get(ACCEPT_ENCODING, "") == DEFLATE
+        return CallResult(response.status, response.data, takes_deflated)
 
     def _pool(self, address: str) -> HTTPConnectionPool:
         """The kept connections to that address."""
--- a/pipitledge/runtime/message_body.py
+++ b/pipitledge/runtime/message_body.py
@@ -26,9 +26,9 @@
     headers: Mapping[str, str]  # that tell how to unpack it
 
 
-def pack(body: bytes) -> PackedBody:
-    """Deflate a body if it is long, and gets shorter by that."""
-    if len(body) >= PACK_FROM_BYTES:
+def pack(body: bytes, allowed: bool = True) -> PackedBody:
+    """Deflate a body if it is long, gets shorter by that, and whoever it is for understands it."""
+    if allowed and len(body) >= PACK_FROM_BYTES:
         deflated = zlib.compress(body, COMPRESSION_LEVEL)
         if len(deflated) < len(body):
             return PackedBody(deflated, {CONTENT_ENCODING: DEFLATE})
--- a/pipitledge/runtime/transport.py
+++ b/pipitledge/runtime/transport.py
@@ -45,6 +45,7 @@
             connections=connections,
         )
         self._calls = HttpCalls(host, "calls", CallLimits())
+        self._take_deflated: set[str] = set()  # addresses whose last answer said so; versions before this one don't
         self._life = secrets.token_hex(LIFE_BYTES)  # tells calls of this process from those of others at its address
         self._call_numbers = itertools.count(1)
         self._server: HttpServer
@@ -80,10 +81,11 @@
         """Send over HTTP; `on_reply` gets the answer, or None after a failure or `timeout` seconds."""
 
         def on_result(result: CallResult) -> None:
+            self._note_encoding(address, result)
             on_reply(self._decoded(result, request, address))
 
         call_id = f"{self._life}-{next(self._call_numbers)}"
-        body = message_body.pack(codec.encode(request))
+        body = message_body.pack(codec.encode(request), allowed=address in self._take_deflated)
         headers = {**message_body.ACCEPTS_DEFLATE, **body.headers}
         self._calls.post(OutgoingCall(address, INTERNAL_PATH, body.data, timeout, headers, call_id), on_result)
 
@@ -106,6 +108,13 @@
         self.datagrams = datagrams
         self.address = f"{ip}:{server.port}"
 
+    def _note_encoding(self, address: str, result: CallResult) -> None:
+        """Remember whether requests to `address` may be deflated."""
+        if result.takes_deflated:
+            self._take_deflated.add(address)
+        elif result.status:
+            self._take_deflated.discard(address)
+
     def _decoded(self, result: CallResult, request: Struct, address: str) -> Struct | None:
         """The reply, or None."""
         if result.status == OK:
--- a/pipitledge/wire/messages.py
+++ b/pipitledge/wire/messages.py
@@ -376,6 +376,7 @@
     node: str = ""
     vector: list[DatasetVersion] = []
     partial: PartialTransfer | None = None
+    takes_pieces: bool = False  # nodes of earlier versions know the configuration as it is alone
 
 
 class Update(Struct):
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -6,6 +6,8 @@
 from random import Random
 from unittest import mock
 
+from msgspec import Struct
+
 from pipitledge.configuration import checks, keeper, transfer
 from pipitledge.configuration.checks import InvalidConfiguration, ParsedConfiguration
 from pipitledge.configuration.data_plane import DataPlane
@@ -14,7 +16,7 @@
 from pipitledge.configuration.model import Configuration
 from pipitledge.runtime.handlers import Handlers
 from pipitledge.runtime.settings import Bounds
-from pipitledge.wire.messages import NotPrimary, OperatorCall, PullReply, PullRequest, Update
+from pipitledge.wire.messages import DatasetVersion, NotPrimary, OperatorCall, PullReply, PullRequest, Update
 from tests.system.configuration_world import (
     Answers,
     HeldReplicator,
@@ -625,6 +627,26 @@
         self.assertEqual(len(scripted.requests), 1)
 
 
+class EarlierVersionTest(PullCase):
+    """While versions change, nodes and primaries of the one before are there as well."""
+
+    def test_a_node_that_knows_no_pieces_gets_the_configuration_as_it_is(self) -> None:
+        body = whole(7, route(1))
+        self.committed(body, "0")
+        found: list[Struct] = []
+        for held in ([], [DatasetVersion("config", 6)], [DatasetVersion("config", 7)]):
+            self.handlers.call(PullRequest("old", held), found.append)
+        updates = [reply.updates for reply in found if isinstance(reply, PullReply)]
+        self.assertEqual(updates, [[Update("config", 7, body)], [Update("config", 7, body)], []])
+
+    def test_a_primary_that_knows_no_pieces_is_understood(self) -> None:
+        body = whole(7, route(1))
+        self.handlers.on_call(PullRequest, lambda request, reply: reply(PullReply(1, [Update("config", 7, body)])))
+        self.plane.start()
+        assert self.plane.configuration is not None
+        self.assertEqual(self.plane.configuration.version, 7)
+
+
 class FollowingTest(PullCase):
     """Nodes that are brought up to date by changes, pieces and wholes hold what the primary holds."""
 
