Soak runs end with the command that started them

Cause: a killed command left its runs, and these their processes, for as long as a run takes. Change: a run asks the kernel to end with its command, too. Result: a test of each; both fail without the call to prctl.

--- a/pipitledge/emulator/soak/child.py
+++ b/pipitledge/emulator/soak/child.py
@@ -16,12 +16,17 @@
 ORPHANED = 4  # exit status of a process whose parent had gone before it could ask
 
 
-def main() -> None:
-    """Run the module that the second argument names; the first is the process of the run."""
-    parent, module = int(sys.argv[1]), sys.argv[2]
+def end_with(parent: int) -> None:
+    """Have the kernel kill this process once `parent`, which started it, is gone."""
     ctypes.CDLL(None, use_errno=True).prctl(PR_SET_PDEATHSIG, int(signal.SIGKILL), 0, 0, 0)
     if os.getppid() != parent:
         sys.exit(ORPHANED)
+
+
+def main() -> None:
+    """Run the module that the second argument names; the first is the process of the run."""
+    parent, module = int(sys.argv[1]), sys.argv[2]
+    end_with(parent)
     sys.argv = [module]
     runpy.run_module(module, run_name="__main__", alter_sys=True)
 
--- a/pipitledge/emulator/soak/run.py
+++ b/pipitledge/emulator/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import multiprocessing
+import os
 import tempfile
 import time
 from collections import Counter
@@ -13,6 +14,7 @@
 
 from msgspec import Struct
 
+from pipitledge.emulator.soak.child import end_with
 from pipitledge.emulator.soak.clients import Clients, Platform
 from pipitledge.emulator.soak.closing import Closing, wait_until_ready
 from pipitledge.emulator.soak.operator import Operator
@@ -148,7 +150,9 @@
 def play_seeds(seeds: range, load: Load, jobs: int, logs_folder: str) -> Iterator[SoakVerdict]:
     """Play runs, `jobs` at a time, each in a process of its own; verdicts come in the order of the seeds."""
     context = multiprocessing.get_context("spawn")
-    with ProcessPoolExecutor(jobs, mp_context=context, max_tasks_per_child=1) as executor:
+    with ProcessPoolExecutor(
+        jobs, mp_context=context, initializer=end_with, initargs=(os.getpid(),), max_tasks_per_child=1
+    ) as executor:
         futures = [executor.submit(play_seed, seed, load, logs_folder) for seed in seeds]
         for future in futures:
             yield future.result()
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -210,28 +210,46 @@
 
 
 class ChildTest(unittest.TestCase):
-    """A process of a run that is killed."""
+    """A process of a run that is killed, and one of a run whose command is killed."""
 
     RUN = """
-import os, subprocess, sys
-argument = sys.argv[1]
-child = [sys.executable, "-m", "pipitledge.emulator.soak.child", str(os.getpid()), "tests.system.soak_child"]
-process = subprocess.Popen(child, pass_fds=(int(argument),), env={**os.environ, "HELD": argument})
-process.wait()
+import multiprocessing, os, subprocess, sys
+from pipitledge.emulator.soak.child import end_with
+
+def run(parent, held):
+    if parent:
+        end_with(parent)
+    child = [sys.executable, "-m", "pipitledge.emulator.soak.child", str(os.getpid()), "tests.system.soak_child"]
+    subprocess.run(child, pass_fds=(held,), env={**os.environ, "HELD": str(held)})
+
+held = int(sys.argv[1])
+if sys.argv[2] == "run":
+    run(0, held)
+else:
+    started = multiprocessing.get_context("fork").Process(target=run, args=(os.getpid(), held))
+    started.start()
+    os.close(held)
+    started.join()
 """
 
-    def test_it_goes_with_the_run(self) -> None:
+    def check(self, what: str) -> None:
         read, held = os.pipe()
         self.addCleanup(os.close, read)
-        soak_run = subprocess.Popen([sys.executable, "-c", self.RUN, str(held)], pass_fds=(held,), cwd=ROOT)
+        killed = subprocess.Popen([sys.executable, "-c", self.RUN, str(held), what], pass_fds=(held,), cwd=ROOT)
         os.close(held)
         self.assertEqual(os.read(read, 5), b"began")
-        soak_run.kill()
-        soak_run.wait()
+        killed.kill()
+        killed.wait()
         readable, _, _ = select.select([read], [], [], PATIENCE)
         self.assertEqual(readable, [read], "the process is still there")
         self.assertEqual(os.read(read, 1), b"")
 
+    def test_it_goes_with_the_run(self) -> None:
+        self.check("run")
+
+    def test_it_goes_with_the_command(self) -> None:
+        self.check("command")
+
 
 class MachineProcessTest(unittest.TestCase):
     """Signals to a process that is new, or about to end."""
