Pull on whatever is wrong with an answer

Cause: since answers are taken before the next pull is planned, a listener that fails would have ended a node's pulls for good. Change: the next pull is planned in any case. Result: one test, which fails without the change.

--- a/pipitledge/configuration/data_plane.py
+++ b/pipitledge/configuration/data_plane.py
@@ -130,17 +130,22 @@
 
     def _pulled(self, sent_at: float, outcome: Outcome) -> None:
         reply = outcome.reply
-        if isinstance(reply, PullReply):
-            self._failures = 0
-            self._contact_at = sent_at
-            for update in reply.updates:
-                self._take(update)
-            if reply.term == self._usage_term:
-                self._usage_at = sent_at
-        else:
-            self._note_failure(sent_at)
-        if self._running:
-            self._pull_after(self._next_pause(answered=isinstance(reply, PullReply)))
+        try:
+            if isinstance(reply, PullReply):
+                self._take_reply(sent_at, reply)
+            else:
+                self._note_failure(sent_at)
+        finally:  # whatever is wrong with an answer: a node that pulled no more would keep what it has for good
+            if self._running:
+                self._pull_after(self._next_pause(answered=isinstance(reply, PullReply)))
+
+    def _take_reply(self, sent_at: float, reply: PullReply) -> None:
+        self._failures = 0
+        self._contact_at = sent_at
+        for update in reply.updates:
+            self._take(update)
+        if reply.term == self._usage_term:
+            self._usage_at = sent_at
 
     def _next_pause(self, answered: bool) -> float:
         """Seconds until the next pull; none while a newer configuration is on its way in pieces."""
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -611,6 +611,14 @@
         self.assertIsNone(plane.usage)
         self.assertEqual([event for event, _ in self.log.events], ["dataset_unreadable"] * 2)
 
+    def test_a_listener_that_fails_does_not_end_the_pulls(self) -> None:
+        self.plane.on_change(lambda configuration: [][configuration.version])
+        self.committed(whole(7, route(1)), "0")
+        with self.assertRaises(IndexError):
+            self.plane.start()
+        self.world.run_for(1.0)
+        self.assertGreater(len(self.caller.requests), 1)
+
     def test_stopped_it_pulls_no_more(self) -> None:
         self.plane.start()
         self.plane.stop()
