Send callers to the primary for a configuration that a thin link would carry too slowly

Change: a read whose answer would take the node's link over 0.3 s is answered 307 with the primary's address, by limits.linkMbps.

--- a/pipitledge/emulator/cluster/links.py
+++ b/pipitledge/emulator/cluster/links.py
@@ -24,5 +24,6 @@
 
     def __init__(self, bytes_per_s: float) -> None:
         """A link that carries so many bytes a second each way."""
+        self.bytes_per_s = bytes_per_s
         self.inward = Lane(bytes_per_s)
         self.outward = Lane(bytes_per_s)
--- a/pipitledge/emulator/cluster/site.py
+++ b/pipitledge/emulator/cluster/site.py
@@ -16,6 +16,7 @@
 from pipitledge.ingress.ingress import Ingress
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.readiness import Readiness
+from pipitledge.ingress.redirect import BITS_PER_BYTE, BITS_PER_MEGABIT, LargeAnswers
 from pipitledge.membership.detours import Detours
 from pipitledge.membership.founding_gate import FoundingGate
 from pipitledge.membership.membership import Membership, internal_addresses
@@ -30,6 +31,8 @@
 from pipitledge.wire.messages import NodeDescriptor
 
 INTERNAL_PORT = 7_000
+CONTROL_PORT = 8_080
+WIDE_LINK_MBPS = 1_000.0  # of machines whose links are not named
 AGENTS_CLASS = "side"
 SEEDS = 3  # that settings name
 CLOCK_SPREAD = 0.001  # steady clocks of machines differ by this share at most
@@ -99,7 +102,7 @@
         for index, name in enumerate(self.deployment.edges):
             self._add_machine(name, f"10.0.0.{index + 1}", ZONES[index % len(ZONES)])
         seeds = self._randomness.sample(self.deployment.edges, min(SEEDS, len(self.deployment.edges)))
-        self._seeds = [f"{self._ip(name)}:8080" for name in seeds]
+        self._seeds = [f"{self._ip(name)}:{CONTROL_PORT}" for name in seeds]
         gangs = Gangs(self.world, self.onlooker, self.deployment.bounds.gang_ms / 1_000.0)
         for index, plan in enumerate(self.deployment.workers):
             machine = self._add_machine(plan.node, f"10.0.1.{index + 1}", plan.zone)
@@ -191,12 +194,23 @@
         readiness = Readiness(data_plane)
         admission = LocalAdmission(data_plane)
         ingress = Ingress(caller, data_plane, admission, readiness, name, log)
-        self.nodes[name] = NodePlanes(process, ingress, ControlFront(process.clock, caller, log), readiness, replica)
+        control = ControlFront(process.clock, caller, log, self._large_answers(membership, process.machine))
+        self.nodes[name] = NodePlanes(process, ingress, control, readiness, replica)
         membership.start()
         if replica is not None:
             replica.start()
         data_plane.start()
 
+    def _large_answers(self, membership: Membership, machine: Machine) -> LargeAnswers:
+        link = self.world.network.links.get(machine.name)
+        mbps = link.bytes_per_s * BITS_PER_BYTE / BITS_PER_MEGABIT if link is not None else WIDE_LINK_MBPS
+        return LargeAnswers(membership, machine.name, f"{self._ip(machine.name)}:{CONTROL_PORT}", mbps)
+
+    def node_at(self, location: str) -> str:
+        """The node that takes operators' calls at a URL; empty if none does."""
+        ip = location.removeprefix("http://").partition(":")[0]
+        return next((name for name in self.deployment.edges if self._ip(name) == ip), "")
+
     def _build_control(self, process: Process, membership: Membership, detours: Detours, bootstrap: bool) -> Replica:
         machine, log = process.machine, self._log(process.machine.name)
         services: list[PrimaryService] = []
--- a/pipitledge/ingress/control_front.py
+++ b/pipitledge/ingress/control_front.py
@@ -8,6 +8,7 @@
 from pipitledge.configuration.checks import MAX_BODY_BYTES
 from pipitledge.configuration.primary import CallsPrimary
 from pipitledge.ingress.outcomes import Answer, failure, unavailable, unknown
+from pipitledge.ingress.redirect import LargeAnswers
 from pipitledge.membership.primary_caller import Outcome, passage_s
 from pipitledge.runtime.logs import EventLog
 from pipitledge.runtime.ports import Clock
@@ -19,7 +20,7 @@
 PATIENCE_SECONDS = 0.85
 MOST_CALLS = 32  # in progress at once; operators have eight at most
 
-Respond = Callable[[int, bytes], None]  # status, body
+Respond = Callable[[int, bytes, str], None]  # status, body, where to call instead ("": nowhere)
 
 
 class ControlFront:
@@ -29,9 +30,12 @@
     whoever looks at it; all else is 503 or 504, upon which the order is sent again.
     """
 
-    def __init__(self, clock: Clock, primary_caller: CallsPrimary, log: EventLog) -> None:
-        """Hand calls to `primary_caller`."""
+    def __init__(
+        self, clock: Clock, primary_caller: CallsPrimary, log: EventLog, large_answers: LargeAnswers | None = None
+    ) -> None:
+        """Hand calls to `primary_caller`; `large_answers` tells which answers callers are sent to the primary for."""
         self._clock = clock
+        self._large_answers = large_answers
         self._primary_caller = primary_caller
         self._log = log
         self._in_progress = 0
@@ -71,7 +75,7 @@
         self._in_progress -= 1
         reply = outcome.reply
         if isinstance(reply, OperatorReply):
-            answer = Answer(reply.status, reply.body)
+            answer = self._sent_from_here(request, Answer(reply.status, reply.body))
         elif outcome.may_have_run and request.method != "GET":
             answer = unknown("the primary gave no answer")
         else:
@@ -86,6 +90,16 @@
         )
         _send(respond, answer)
 
+    def _sent_from_here(self, request: OperatorCall, answer: Answer) -> Answer:
+        """The answer, or where to get it if it would take too long on this machine's link.
+
+        Only a read is redirected: an order has been carried out by then, and its answers are short.
+        """
+        if self._large_answers is None or request.method != "GET":
+            return answer
+        location = self._large_answers.location(len(answer.body), CONFIGURATION_PATH)
+        return Answer(HTTPStatus.TEMPORARY_REDIRECT, location=location) if location else answer
+
 
 def _send(respond: Respond, answer: Answer) -> None:
-    respond(answer.status, answer.body)
+    respond(answer.status, answer.body, answer.location)
--- a/pipitledge/ingress/outcomes.py
+++ b/pipitledge/ingress/outcomes.py
@@ -25,6 +25,7 @@
     status: int
     body: bytes = b""
     retry_after_ms: int = 0  # 0: not told
+    location: str = ""  # with a redirect: where to call instead
 
 
 class _Error(Struct):
--- a/pipitledge/programs/fronts.py
+++ b/pipitledge/programs/fronts.py
@@ -48,8 +48,8 @@
     """The operator's calls, at a node's `controlPlane` address."""
 
     def handle(request: HttpRequest, respond: Respond) -> None:
-        def answer(status: int, body: bytes) -> None:
-            respond(HttpResponse(status, body))
+        def answer(status: int, body: bytes, location: str) -> None:
+            respond(HttpResponse(status, body, {"Location": location} if location else {}))
 
         control.call(request.method, request.path, request.headers.get("if-match", ""), request.body, answer)
 
--- a/pipitledge/programs/node.py
+++ b/pipitledge/programs/node.py
@@ -12,6 +12,7 @@
 from pipitledge.ingress.ingress import LONGEST_PATIENCE_SECONDS, Ingress
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.readiness import Readiness
+from pipitledge.ingress.redirect import LargeAnswers
 from pipitledge.membership.primary_caller import PrimaryCaller
 from pipitledge.programs.control import ControlState, build_control_state
 from pipitledge.programs.core import Core, prepare_process, wait_for_settings
@@ -120,9 +121,13 @@
 
     def _serve_operator(self) -> None:
         """Take the operator's calls."""
-        front = ControlFront(self._core.host, self._caller, logs.get("control"))
+        core, settings = self._core, self._core.settings
+        large_answers = LargeAnswers(
+            core.membership, settings.name, settings.bind.control_plane, settings.limits.link_mbps
+        )
+        front = ControlFront(core.host, self._caller, logs.get("control"), large_answers)
         options = ServerOptions("control", threads=1, most_threads=24, body_limit=MAX_BODY_BYTES, connections=256)
-        self._core.serve(self._core.settings.bind.control_plane, operator_front(front), options)
+        core.serve(settings.bind.control_plane, operator_front(front), options)
 
 
 def main() -> None:
--- a/tests/system/test_ingress.py
+++ b/tests/system/test_ingress.py
@@ -15,6 +15,7 @@
 from pipitledge.ingress.local_admission import LocalAdmission
 from pipitledge.ingress.outcomes import RETRY_AFTER_MS
 from pipitledge.ingress.readiness import CONTACT_SECONDS, Readiness
+from pipitledge.ingress.redirect import LONGEST_SENDING_S, LargeAnswers
 from pipitledge.membership.primary_caller import LONG_BODY_BYTES_PER_S
 from pipitledge.runtime.settings import Bounds
 from pipitledge.scheduling.admission_rule import LEAST_DEPTH, SHORTEST_RETRY_MS
@@ -22,11 +23,13 @@
     CallKind,
     ClientCall,
     ClientReply,
+    Member,
     NotPrimary,
     OperatorCall,
     OperatorReply,
     PullReply,
     Update,
+    View,
 )
 from tests.system.configuration_world import ScriptedCaller, SilentLog, clock_of, route, whole
 from tests.system.virtual import World
@@ -291,6 +294,46 @@
         self.assertFalse(self.readiness.ready())
 
 
+class LargeAnswersTest(unittest.TestCase):
+    """Reads that a thin link would carry too slowly are sent to the primary."""
+
+    WIDE, THIN = 1_000.0, 2.0  # Mbit/s
+
+    def setUp(self) -> None:
+        self.membership = mock.Mock(view=View(epoch=1, primary="n1", members=[Member("n1", "10.0.0.1:7660")]))
+        self.heard: list[tuple[int, bytes, str]] = []
+
+    def ask(self, size: int, link_mbps: float = THIN, me: str = "n5", method: str = "GET") -> tuple[int, str]:
+        """Status and location of the answer to a call that the primary answers with so many bytes."""
+        caller = ScriptedCaller()
+        answers = LargeAnswers(self.membership, me, "10.0.0.5:8146", link_mbps)
+        front = ControlFront(clock_of(World()), caller, SilentLog(), answers)
+        front.call(method, "/pipitledge/config", "", b"{}", lambda *answer: self.heard.append(answer))
+        caller.answer(OperatorReply(200, bytes(size)))
+        status, body, location = self.heard[-1]
+        self.assertEqual(len(body), 0 if location else size)
+        return status, location
+
+    def test_a_large_one_comes_from_the_primary(self) -> None:
+        self.assertEqual(self.ask(280_000), (307, "http://10.0.0.1:8146/pipitledge/config"))
+
+    def test_what_the_link_carries_soon_is_sent_from_here(self) -> None:
+        bound = int(LONGEST_SENDING_S * self.THIN * 125_000)
+        self.assertEqual(self.ask(bound), (200, ""))
+        self.assertEqual(self.ask(bound + 1)[0], 307)
+        self.assertEqual(self.ask(280_000, self.WIDE), (200, ""))
+
+    def test_the_primary_and_a_node_that_knows_none_send_it_themselves(self) -> None:
+        self.assertEqual(self.ask(280_000, me="n1"), (200, ""))
+        self.assertEqual(self.ask(280_000, link_mbps=0.0), (200, ""))
+        self.membership.view = None
+        self.assertEqual(self.ask(280_000), (200, ""))
+
+    def test_orders_are_answered_here(self) -> None:
+        for method in ("PUT", "PATCH"):
+            self.assertEqual(self.ask(280_000, method=method), (200, ""))
+
+
 class ControlFrontTest(unittest.TestCase):
     def setUp(self) -> None:
         self.world = World()
@@ -300,7 +343,9 @@
         self.heard: list[tuple[int, bytes]] = []
 
     def call(self, method: str, body: bytes = b"", path: str = "/pipitledge/config") -> None:
-        self.front.call(method, path, "5", body, lambda *answer: self.heard.append(answer))
+        self.front.call(
+            method, path, "5", body, lambda status, content, _location: self.heard.append((status, content))
+        )
 
     def asked(self, method: str, reply: Struct | None, may_have_run: bool = False) -> int:
         """What the operator hears when the call to the primary ends so."""
--- a/tests/system/test_programs.py
+++ b/tests/system/test_programs.py
@@ -144,19 +144,25 @@
 
 
 class FakeControl:
-    def __init__(self) -> None:
+    def __init__(self, *answer: object) -> None:
         self.calls: list[tuple[object, ...]] = []
+        self.answer = answer
 
     def call(self, *call: object) -> None:
         *told, respond = call
         self.calls.append(tuple(told))
         assert callable(respond)
-        respond(412, b"{}")
+        respond(*self.answer)
 
 
 class OperatorFrontTest(unittest.TestCase):
+    def test_a_redirect_tells_where_to_call(self) -> None:
+        front = operator_front(cast(ControlFront, FakeControl(307, b"", "http://10.0.0.1:8146/x")))
+        response = ask(front, HttpRequest("GET", "/pipitledge/config", "", {}, b""))
+        self.assertEqual(response, HttpResponse(307, b"", {"Location": "http://10.0.0.1:8146/x"}))
+
     def test_the_version_that_an_order_builds_on_is_passed_on(self) -> None:
-        control = FakeControl()
+        control = FakeControl(412, b"{}", "")
         request = HttpRequest("PUT", "/pipitledge/config", "", {"if-match": "5"}, b"body")
         self.assertEqual(ask(operator_front(cast(ControlFront, control)), request), HttpResponse(412, b"{}"))
         self.assertEqual(control.calls, [("PUT", "/pipitledge/config", "5", b"body")])
