Test of slow thread starts: wait until the server's first thread is there

The server's first thread is started by the starter, too; on a busy machine that came after the test had begun to hold starts up, so that the server had no thread at all. Traced: with a starter that is 0.3 s late the test fails each time, at that very line. Change: the test makes one call first; what it asserts stays as it was. Result: with the late starter it passes, ten tests of the file pass.

--- a/tests/system/test_http_end.py
+++ b/tests/system/test_http_end.py
@@ -164,6 +164,7 @@
 
     def test_the_thread_that_watches_connections_does_not_wait_for_a_start(self) -> None:
         self.server = self.started(ServerOptions("test", threads=1, most_threads=4))
+        self.assertEqual(self.statuses(CALL), [200])  # its first thread is there; else that one's start would be slow
         starting, go_on = threading.Event(), threading.Event()
         self.addCleanup(go_on.set)
         start = WorkerThread.start
