--- a/review/common/scene.py
+++ b/review/common/scene.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import os
+import signal
+import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -78,8 +80,15 @@
         self.system.close()
 
 
+def _stop(_number: int, _frame: object) -> None:
+    """End the case early; all that was started is still ended."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def main(folder: Path, rule: str, play: Callable[[Scene], list[dict[str, Any]]], max_attempts: int = 3) -> int:
     """Play a case and tell the verdict: 1 the rule was broken, 0 it held, 2 it couldn't be played."""
+    signal.signal(signal.SIGTERM, _stop)
     record = Record(folder / "record.txt")
     record.add("begin", trouble=TROUBLE)
     scene: Scene | None = None
