--- a/review/common/scene.py
+++ b/review/common/scene.py
@@ -86,10 +86,10 @@
     sys.exit(2)
 
 
-def main(folder: Path, rule: str, play: Callable[[Scene], list[dict[str, Any]]], max_attempts: int = 3) -> int:
+def main(record_path: Path, rule: str, play: Callable[[Scene], list[dict[str, Any]]], max_attempts: int = 3) -> int:
     """Play a case and tell the verdict: 1 the rule was broken, 0 it held, 2 it couldn't be played."""
     signal.signal(signal.SIGTERM, _stop)
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     record.add("begin", trouble=TROUBLE)
     scene: Scene | None = None
     try:
