--- a/review/common-2/small_system.py
+++ b/review/common-2/small_system.py
@@ -668,10 +668,10 @@
             await asyncio.sleep(0.01)
 
 
-def main(folder: Path, case: Callable[[Record], Awaitable[int]]) -> None:
-    """Run one case and exit with its result."""
+def main(record_path: Path, case: Callable[[Record], Awaitable[int]]) -> None:
+    """Run one case, write its record to `record_path`, and exit with its result."""
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))  # ends all processes, as Ctrl-C does
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     record.line(f"TROUBLE={int(TROUBLE)}")
     try:
         result = asyncio.run(asyncio.wait_for(case(record), 115))
@@ -679,5 +679,5 @@
         record.line(f"not run: {error!r}")
         result = NOT_RUN
     record.line({HELD: "held", BROKEN: "broken", NOT_RUN: "could not run"}[result])
-    print(f"{folder.name}: {({HELD: 'held', BROKEN: 'broken', NOT_RUN: 'could not run'})[result]}")
+    print(f"{record_path.parent.name}: {({HELD: 'held', BROKEN: 'broken', NOT_RUN: 'could not run'})[result]}")
     sys.exit(result)
