--- a/review/common-2/small_system.py
+++ b/review/common-2/small_system.py
@@ -670,6 +670,7 @@
 
 def main(record_path: Path, case: Callable[[Record], Awaitable[int]]) -> None:
     """Run one case, write its record to `record_path`, and exit with its result."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)  # a shell's background jobs begin with it ignored
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))  # ends all processes, as Ctrl-C does
     record = Record(record_path)
     record.line(f"TROUBLE={int(TROUBLE)}")
