Agent: log by what evidence calls to a worker end

Change: the agent logs `hold_failed` (the first hold that failed after an answer) and `worker_abandoned` (no further call), both with failures, age of the last heartbeat, rest of the leases and whether the worker counts as silent. The primary logs `worker_silent`.

--- a/pipitledge/agent/agent.py
+++ b/pipitledge/agent/agent.py
@@ -101,6 +101,7 @@
         self._report_number = 0
         self._reported_items = _ReportedItems()
         self._silent_instance: WorkerInstance | None = None
+        self._abandoned_instance: WorkerInstance | None = None
         self._expiry_reported = False
         self._expiry_report_number = 0  # orders that answer an earlier report start nothing
         self._instances = InstanceTracker(clock)
@@ -249,6 +250,8 @@
             self._end_instance()
         if change is LeaseChange.REPLACED:
             self._log.info("worker_replaced")
+        if change is LeaseChange.FAILED and self._leases.failures == 1:
+            self._log_evidence("hold_failed")
         if change not in (LeaseChange.NOTHING_NEW, LeaseChange.FAILED):
             self._reporter.request_report()
         if change is LeaseChange.FAILED or self._leases.worker_has_fence():
@@ -274,6 +277,7 @@
         self._report_new_results()
         self._report_silence()
         self._report_expiry()
+        self._log_abandonment()
 
     def _report_new_results(self) -> None:
         """Request a report if orders have completed since the last check."""
@@ -295,6 +299,28 @@
         elif not self._expiry_reported:
             self._reporter.request_report()
 
+    def _log_abandonment(self) -> None:
+        """Log when the calls to a worker instance end, with what is known of it by then."""
+        abandoned = self._instances.current if self._leases.has_abandoned_worker() else None
+        if abandoned is not None and abandoned is not self._abandoned_instance:
+            self._log_evidence("worker_abandoned")
+        self._abandoned_instance = abandoned
+
+    def _log_evidence(self, event: str) -> None:
+        """Log an event with all by which a worker instance is judged to be alive or over."""
+        worker = self._instances.current
+        if worker is None:
+            return
+        self._log.info(
+            event,
+            instance=worker.instance,
+            term=self._term,
+            failures=self._leases.failures,
+            heartbeat_age_s=round(self._clock.now() - worker.last_heartbeat_at, 3),
+            lease_left_s=round(self._leases.lease_left_s(), 3),
+            silent=self._leases.is_silent(),
+        )
+
     # ---- reports
 
     def _interval(self) -> float:
--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -211,6 +211,15 @@
         """All ended runs that the primary has not acknowledged."""
         return [self._ends[number] for number in sorted(self._ends)]
 
+    @property
+    def failures(self) -> int:
+        """Number of consecutive hold calls that failed."""
+        return self._failures
+
+    def lease_left_s(self) -> float:
+        """Seconds until the latest deadline that the worker may know; 0 once it has passed."""
+        return max(0.0, self._expiry_at() - self._clock.now())
+
     def worker_has_fence(self) -> bool:
         """Whether the current worker instance has received the fencing token of the current term."""
         return self._worker_fence >= self._fence
--- a/pipitledge/scheduling/reports.py
+++ b/pipitledge/scheduling/reports.py
@@ -119,7 +119,10 @@
         worker.address = report.address
         worker.reported_at = now
         worker.unreachable = False
-        worker.silent = report.silent_ms > 0 or bool(report.lapsed_instance)
+        silent = report.silent_ms > 0 or bool(report.lapsed_instance)
+        if silent and not worker.silent:
+            context.log.info("worker_silent", peer=worker.node, silent_ms=report.silent_ms, runs=len(worker.runs))
+        worker.silent = silent
         if report.worker is not None and self._enter_instance(worker, report, report.worker):
             worker.update_from_heartbeat(report.worker, now, report.worker.heartbeat_age_ms / 1_000.0)
             if report.hold_number > 0:
