Agent: end calls to a lost worker only once its expired leases are reported

Cause: the agent ended its calls by one judgement and reported by another. Calls ended after a single failed hold if heartbeats were missed and the last deadline that this process had sent had passed; the report wanted two failures, and counts the leases of an earlier process, too. Between the two lies a state that nothing ends: no call is made, so no second one fails, and nothing is reported; as the agent goes on reporting, the primary's own limit never comes. The missing deadline of the first hold is one way in. A change of the term after an idle worker was lost is another, without any restart, and a living worker whose heartbeats are late was given up for one lost call.

Change: calls end only in the state that every report tells (`leases_expired`).

Tests of agent, scheduling and the whole system pass.

--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -225,12 +225,14 @@
         return self._worker_fence >= self._fence
 
     def has_abandoned_worker(self) -> bool:
-        """Whether the worker neither answers nor sends heartbeats, and all its task leases have expired."""
-        if self._worker is None or not self._failures:
+        """Whether no further call is made, because the worker sends no heartbeats and its task leases have expired.
+
+        Calls end only in a state that each report tells the primary (`leases_expired`). Otherwise nothing would ever
+        change that state, and the primary would wait for the runs of the worker for ever.
+        """
+        if self._worker is None or not self.leases_expired():
             return False
-        now = self._clock.now()
-        missed = now - self._worker.last_heartbeat_at > MISSED_HEARTBEATS * self._heartbeat_s
-        return missed and now > self._latest_sent_until
+        return self._clock.now() - self._worker.last_heartbeat_at > MISSED_HEARTBEATS * self._heartbeat_s
 
     def earlier_calls_may_arrive(self) -> bool:
         """Whether the worker may still execute calls that an earlier process of this agent sent."""
