Agent: report the expired leases of a worker whose successor answered once

What callers see: a worker restarts, answers one call as a new instance and is gone for good before its first heartbeat.

After an answer of another instance (421) the agent makes no call, and nothing was ever reported of the old one.

Change: an instance in whose place another one answered counts as silent, so that its expired leases are reported like those of any other. It gets no further call, as before.

--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -239,13 +239,17 @@
         return self._clock.now() <= self._earlier_leases_until
 
     def is_silent(self) -> bool:
-        """Whether the last hold calls failed or all calls are unanswered; then no call may extend the task leases."""
+        """Whether the worker instance has stopped answering; then no call may extend the task leases.
+
+        Its last hold calls failed, all calls are unanswered, or another instance answered in its place.
+        """
         if self._failures >= SILENT_AFTER_FAILURES:
             return True
-        return self._worker is not None and self._worker.silent and not self._worker.connection_refused
+        worker = self._worker
+        return worker is not None and (worker.replaced or (worker.silent and not worker.connection_refused))
 
     def leases_expired(self) -> bool:
-        """Whether the worker has stopped answering and all its task leases have expired."""
+        """Whether the worker instance has stopped answering and all its task leases have expired."""
         return self.is_silent() and self._clock.now() > self._expiry_at()
 
     def _expiry_at(self) -> float:
@@ -258,16 +262,15 @@
         """Send the call that is due now, and set a timer for the next one."""
         self._follow_instance()
         worker = self._worker
-        if worker is None or worker.replaced or not self._fence or self._stopped:
+        if worker is None or not self._fence or self._stopped:
             self._set_timer(None)
             return
         if self._has_left(worker):
             self._on_change(LeaseChange.LEFT)
             return
-        now = self._clock.now()
-        if now >= self._retry_at and not self.has_abandoned_worker():
+        if self._clock.now() >= self._retry_at and self._may_call(worker):
             self._send_due(worker)
-        self._set_timer(self._next_wakeup())
+        self._set_timer(self._next_wakeup(worker))
 
     def _follow_instance(self) -> None:
         if self._instances.current is not self._worker:
@@ -275,11 +278,15 @@
 
     def _has_left(self, worker: WorkerInstance) -> bool:
         """Whether a worker that announced its exit has ended: no run can be running there any more."""
-        if not worker.leaving:
+        if not worker.leaving or worker.replaced:
             return False
         idle = self.lists.number > 0 and not self.may_run()
         return idle or (self._failures > 0 and self._clock.now() > self._latest_sent_until)
 
+    def _may_call(self, worker: WorkerInstance) -> bool:
+        """Whether any further call is made to that instance."""
+        return not worker.replaced and not self.has_abandoned_worker()
+
     def _send_due(self, worker: WorkerInstance) -> None:
         if self._immediate_call is None and (self._refresh_is_due() or self._renewal_is_due()):
             self._send(worker, 0.0)
@@ -325,10 +332,10 @@
             return self._poll_wait.wait_s
         return min(self._poll_wait.wait_s, max(SHORTEST_WAIT_S, POLL_WAIT_FRACTION * (until - self._clock.now())))
 
-    def _next_wakeup(self) -> float | None:
+    def _next_wakeup(self, worker: WorkerInstance) -> float | None:
         """When the next timer is needed, for a call or to report expired leases; None if there is none."""
         now = self._clock.now()
-        call_at = self._next_call_at(now)
+        call_at = self._next_call_at(now) if self._may_call(worker) else None
         expiry_at = self._expiry_at() + EXPIRY_CHECK_DELAY_S
         if not self.is_silent() or expiry_at <= now:
             return call_at
@@ -338,7 +345,7 @@
         """When the next call becomes due without any other event; None if there is none."""
         if now < self._retry_at:
             return self._retry_at
-        if not self.may_run() or self.has_abandoned_worker():
+        if not self.may_run():
             return None
         times = [] if self._poll_call or self._immediate_call else [self._poll_at()]
         if self._immediate_call is None:
--- a/tests/system/test_agent_abandonment.py
+++ b/tests/system/test_agent_abandonment.py
@@ -117,6 +117,26 @@
         self.assertIn("b", self.site.worker.instance_model.running)
 
 
+class ReplacedInstance(AbandonmentCase):
+    """Another instance has answered a call in the place of the one that the agent knows."""
+
+    def test_a_worker_lost_after_one_answer_of_its_next_instance_is_reported(self) -> None:
+        """Guards against a worker that restarts, answers one call and is gone before its first heartbeat."""
+        self.site.worker.heartbeats_delivered = False
+        self.site.worker.crash(restart_after=0.02)
+        self.site.run(3.0)
+        self.site.worker.end()
+        self.site.run(HOLD_MAX_S + REPORT_S)
+        self.assert_expiry_reported()
+
+    def test_nothing_is_reported_as_expired_while_leases_of_the_replaced_instance_may_last(self) -> None:
+        """The answer says that the instance has ended; the report still waits for the last deadline it was given."""
+        self.site.worker.heartbeats_delivered = False
+        self.site.worker.crash(restart_after=0.02)
+        self.site.run(3.0)
+        self.assertEqual("", self.site.primary.last.lapsed_instance)
+
+
 class LossAmidTrouble:
     """One drawn order of a restart of the agent, an outage of the primary, a new term and the loss of the worker."""
 
