Agent: a leaving worker counts what an earlier process of its agent sent

The task starts elsewhere and runs on two workers for some 3 s.

Cause: the end of a leaving worker was judged by what this process had sent: the latest deadline of its own holds (0 after a start), and lists of its own calls. The leases that the process before may have granted, and a start of it that the worker has yet to carry out, were left out, though the expiry of a silent worker's leases counts them.

Change: both ways to the end of a leaving worker wait for what an earlier process may have sent, by the same bound as everywhere else.

--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -277,11 +277,14 @@
             self._reset(self._instances.current)
 
     def _has_left(self, worker: WorkerInstance) -> bool:
-        """Whether a worker that announced its exit has ended: no run can be running there any more."""
+        """Whether a worker that announced its exit has ended: no run can be running there any more.
+
+        An earlier process of this agent may have granted leases, or sent starts that the worker has yet to execute.
+        """
         if not worker.leaving or worker.replaced:
             return False
-        idle = self.lists.number > 0 and not self.may_run()
-        return idle or (self._failures > 0 and self._clock.now() > self._latest_sent_until)
+        idle = self.lists.number > 0 and not self.may_run() and not self.earlier_calls_may_arrive()
+        return idle or (self._failures > 0 and self._clock.now() > self._expiry_at())
 
     def _may_call(self, worker: WorkerInstance) -> bool:
         """Whether any further call is made to that instance."""
--- a/tests/system/test_agent_abandonment.py
+++ b/tests/system/test_agent_abandonment.py
@@ -137,6 +137,48 @@
         self.assertEqual("", self.site.primary.last.lapsed_instance)
 
 
+class LeavingInstance(AbandonmentCase):
+    """A worker announces its exit while leases of an earlier process of its agent may last."""
+
+    def test_a_leaving_worker_has_not_ended_while_leases_of_an_earlier_process_may_last(self) -> None:
+        """Guards against TWICE of review case 6: the task runs on under a lease of the process before."""
+        self.site.run(0.2)  # so that the next heartbeat comes after the exit was announced
+        self.site.kill()
+        self.site.worker.lose_call = lambda sent: LostCall()
+        self.site.start()
+        self.site.run(0.3)
+        agent = self.site.agent
+        assert agent is not None
+        agent.leave("i-1", lambda status, body: None)
+        self.site.run(2.0)
+        self.assertIn("a", self.site.worker.instance_model.running)
+        self.assertNotIn("i-1", [name for report in self.site.primary.reports for name in report.ended_instances])
+        self.site.run(EARLIER_LEASES_S + REPORT_S)
+        self.assertEqual({}, self.site.worker.instance_model.running)
+        self.assertIn("i-1", [name for report in self.site.primary.reports for name in report.ended_instances])
+
+    def test_a_leaving_worker_has_not_ended_while_a_start_of_an_earlier_process_may_be_executed_late(self) -> None:
+        """Guards against TWICE by a start that the process before sent, unanswered: no lists show it yet."""
+        self.site.worker.finish("a")
+        self.site.run(1.0)
+        self.site.worker.lose_call = lambda sent: LostCall(2.0) if sent.kind == "run-start" else None
+        self.site.order_start("b")
+        self.site.run(0.1)
+        self.site.kill()
+        self.site.primary.starts.clear()
+        self.site.start()
+        self.site.run(0.3)
+        agent = self.site.agent
+        assert agent is not None
+        agent.leave("i-1", lambda status, body: None)
+        self.site.run(2.5)
+        self.assertIn("b", self.site.worker.instance_model.running)
+        self.assertNotIn("i-1", [name for report in self.site.primary.reports for name in report.ended_instances])
+        self.site.worker.finish("b")
+        self.site.run(EARLIER_LEASES_S + REPORT_S)
+        self.assertIn("i-1", [name for report in self.site.primary.reports for name in report.ended_instances])
+
+
 class LossAmidTrouble:
     """One drawn order of a restart of the agent, an outage of the primary, a new term and the loss of the worker."""
 
