Soak: an outage of the core with agents killed and a worker lost for good

No process was ever killed without being asked, no worker was lost, and the core always had a quorum.

Change: each run has one outage (`--no-outage` leaves it out): a majority of the counted nodes is killed for 7 to 10 s, in half of the runs so that the primary is left alone; agents are killed with them; a worker whose kind others have is lost for good; others crash and come back. Planned work goes on beside it. A call that a kill cuts is counted apart; a call without an answer is a finding as before, also then, and so is a call cut by any process that was not killed. Two runs of one task at once are a finding (TWICE). A folder that has a run of the same seed is refused: its nodes would take up that data.

--- a/pipitledge/cli/experiment.py
+++ b/pipitledge/cli/experiment.py
@@ -160,6 +160,7 @@
     kept: Positive = 48,
     calls_per_s: PositiveFigure = 100.0,
     workers: Positive = 6,
+    outage: bool = True,
     logs: str = "",
 ) -> int:
     """Run the shipped programs as real processes on loopback, under stops, reloads and changes that overlap.
@@ -182,13 +183,18 @@
         Calls of all clients together.
     workers:
         Workers, each with an agent beside it; with five nodes they make up the processes of a run.
+    outage:
+        Whether the core is without a quorum for a while, with agents killed and a worker lost meanwhile.
     logs:
-        Folder for settings, data and logs of each run; by default they are not kept.
+        Folder for settings, data and logs of each run; none by default. Runs that it has are not continued.
     """
     from pipitledge.emulator.soak.plan import Load
     from pipitledge.emulator.soak.run import play_seeds
 
-    load = Load(trouble_s, series_s, kept, calls_per_s, workers)
+    kept_runs = [seed for seed in range(first, first + count) if logs and (Path(logs) / str(seed)).exists()]
+    if kept_runs:
+        return _fail(f"{Path(logs) / str(kept_runs[0])}: a run with its data is there already", UNUSABLE)
+    load = Load(trouble_s, series_s, kept, calls_per_s, workers, outage)
     found = 0
     for verdict in play_seeds(range(first, first + count), load, jobs, logs):
         print(verdict, flush=True)
--- a/pipitledge/emulator/soak/clients.py
+++ b/pipitledge/emulator/soak/clients.py
@@ -118,7 +118,7 @@
             if end is None:
                 return
             process = self._processes[node.name]
-            self._record.call_ended(node.name, f"{method} {path}", end, process.terminated_at)
+            self._record.call_ended(node.name, f"{method} {path}", end, process.terminated_at, process.killed_at)
             if end.outcome is Outcome.SILENT:
                 process.ask_for_stacks()
             if job is not None:
--- a/pipitledge/emulator/soak/operator.py
+++ b/pipitledge/emulator/soak/operator.py
@@ -101,7 +101,9 @@
 
     def _order(self, method: str, document: dict[str, object]) -> bool:
         body = json.dumps(document).encode()
-        for _ in range(MOST_TRIES):
+        tries = 0
+        while tries < MOST_TRIES:
+            tries += time.monotonic() > self._record.outage_until
             status = self._send(self._random.choice(self._plan.nodes), method, body)
             if status == SUCCESS:
                 self._version = int(str(document["version"]))
--- a/pipitledge/emulator/soak/plan.py
+++ b/pipitledge/emulator/soak/plan.py
@@ -32,6 +32,7 @@
     kept: int = 48  # connections that clients keep open and use
     calls_per_s: float = 100.0
     workers: int = 6
+    outage: bool = True  # whether the core is without a quorum for a while
 
 
 class MachinePlan(Struct, frozen=True):
--- a/pipitledge/emulator/soak/planned_work.py
+++ b/pipitledge/emulator/soak/planned_work.py
@@ -65,7 +65,8 @@
         now = time.monotonic()
         counted = [self._processes[machine.name] for machine in self._plan.machines if machine.counted]
         return all(
-            process.terminated_at is None and now - process.started_at >= CATCH_UP_SECONDS for process in counted
+            process.is_up and process.terminated_at is None and now - process.started_at >= CATCH_UP_SECONDS
+            for process in counted
         )
 
     def _stop_agent(self) -> None:
--- a/pipitledge/emulator/soak/processes.py
+++ b/pipitledge/emulator/soak/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import os
 import signal
 import subprocess
@@ -21,6 +22,7 @@
 STACKS_SECONDS = 0.3  # for a stuck process to write the stacks of its threads
 END_SECONDS = 10.0  # for processes that are ended with the run
 BEGAN, FINISHED = b" started node=", b" ended node="  # in the log of a process
+ROLE_BEGAN, ROLE_ENDED = b" primary_active ", b" primary_ended "  # in the log of a counted node
 CHILD_MODULE = "pipitledge.emulator.soak.child"
 ROOT = Path(__file__).resolve().parents[3]
 
@@ -35,6 +37,7 @@
     killed: bool  # it was still there when its time to end was over
     began: bool  # its log says that it took calls
     finished: bool  # its log says that it was done, and left it to the kernel to end it
+    by_outage: bool = False  # the run killed it without asking
 
 
 class MachineProcess:
@@ -58,6 +61,8 @@
         self._log_start = 0  # where the log of the present process begins, in bytes
         self._stacks_asked = False
         self._closing = False
+        self._back_after_s: float | None = None  # from a kill until the next start; None: it was not killed
+        self.killed_at = -math.inf
         self.started_at = 0.0
         folder.mkdir(parents=True, exist_ok=True)
 
@@ -102,10 +107,25 @@
         self._process.send_signal(number)
         return True
 
+    def kill(self, back_after_s: float) -> bool:
+        """Send SIGKILL, and start the next process after that time; False if there is none."""
+        with self._lock:
+            if not self.is_up:
+                return False
+            self._back_after_s = back_after_s
+            self.killed_at = time.monotonic()
+            return self._signal(signal.SIGKILL)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the process is there and was not killed."""
+        with self._lock:
+            return self._process is not None and self._back_after_s is None and self._process.poll() is None
+
     def terminate(self, grace_s: float) -> bool:
-        """Send SIGTERM, and SIGKILL after `grace_s`; False if its end is under way already."""
+        """Send SIGTERM, and SIGKILL after `grace_s`; False if it is gone or its end is under way already."""
         with self._lock:
-            if self._process is None or self._asked_at is not None:
+            if self._process is None or self._asked_at is not None or self._back_after_s is not None:
                 return False
             self._asked_at = time.monotonic()
             self._grace_s = grace_s
@@ -150,12 +170,23 @@
         self.started_at = time.monotonic()
         self._stacks_asked = False
 
-    def _end_of_life(self, exit_code: int, killed: bool) -> ProcessEnd:
+    def leads(self) -> bool:
+        """Whether the log of the present process says that it acts as the primary."""
+        told = self._log_of_present()
+        return told.rfind(ROLE_BEGAN) > told.rfind(ROLE_ENDED)
+
+    def _log_of_present(self) -> bytes:
         with self._log_path.open("rb") as log:
             log.seek(self._log_start)
-            told = log.read()
+            return log.read()
+
+    def _end_of_life(self, exit_code: int, killed: bool) -> ProcessEnd:
+        told = self._log_of_present()
         began, finished = BEGAN in told, FINISHED in told
-        return ProcessEnd(self.plan.name, self._asked_at, time.monotonic(), exit_code, killed, began, finished)
+        by_outage = self._back_after_s is not None
+        return ProcessEnd(
+            self.plan.name, self._asked_at, time.monotonic(), exit_code, killed, began, finished, by_outage
+        )
 
     def _follow(self) -> None:
         """Wait for the end of each life, and begin the next."""
@@ -174,10 +205,11 @@
             if self._closing:
                 return
             self._on_end(self._end_of_life(process.returncode, killed))
-            time.sleep(RESTART_SECONDS)
+            time.sleep(RESTART_SECONDS if self._back_after_s is None else self._back_after_s)
             with self._lock:
                 if self._closing:
                     return
                 self.rewrite_settings()
                 self._asked_at = None
+                self._back_after_s = None
                 self._spawn()
--- a/pipitledge/emulator/soak/record.py
+++ b/pipitledge/emulator/soak/record.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import threading
 import time
 from collections import Counter
@@ -44,6 +45,8 @@
         self.done: set[str] = set()  # tasks
         self.findings: list[Finding] = []
         self.events: list[str] = []  # planned work, as it was done
+        self.outage_until = -math.inf  # steady time until which an outage of the core excuses what needs a primary
+        self._live: dict[str, list[tuple[ModelWorker, LiveRun]]] = {}  # runs of each task that have begun
 
     def note(self, event: str) -> None:
         """Keep a line on planned work."""
@@ -65,11 +68,18 @@
         with self._lock:
             self.jobs[job.id] = job
 
-    def call_ended(self, machine: str, call: str, end: CallEnd, terminated_at: float | None) -> None:
-        """A client's call has ended; `terminated_at` is when the process there was told to end, if it was."""
+    def call_ended(
+        self, machine: str, call: str, end: CallEnd, terminated_at: float | None, killed_at: float = -math.inf
+    ) -> None:
+        """A client's call has ended.
+
+        `terminated_at` is when the process there was told to end, if it was, and `killed_at` when one was last killed
+        without being asked: that cuts the calls that it has.
+        """
+        killed = end.outcome is Outcome.CUT and end.sent_at <= killed_at <= end.ended_at
         with self._lock:
-            self.calls[end.outcome.value] += 1
-        if end.outcome is Outcome.ANSWERED:
+            self.calls["cut by a kill" if killed else end.outcome.value] += 1
+        if end.outcome is Outcome.ANSWERED or killed:
             return
         told = "" if terminated_at is None else f", SIGTERM {end.ended_at - terminated_at:.2f} s before"
         text = f"{machine}: {call} {end.outcome.value} {end.seconds:.3f} s after it was sent{told}"
@@ -96,6 +106,9 @@
         it runs the first line of the program, from which on SIGHUP is ignored at least. One that was done in time may
         be there for longer while the kernel ends it: it waits for a write to a disk that has stalled.
         """
+        if end.by_outage:
+            self.note(f"{end.machine} was killed")
+            return
         if end.asked_at is None and end.exit_code == HUNG_UP and not end.began:
             self.note(f"{end.machine} ended by SIGHUP before it began")
             return
@@ -126,6 +139,15 @@
         """A worker began a run."""
         if self.jobs[live.task.split(".")[0]].body["spec"] != spec:
             self.find("UNASKED", f"{live.task}: not what a client sent")
+        self._check_twice(worker, live)
+
+    def _check_twice(self, worker: ModelWorker, live: LiveRun) -> None:
+        """A run began; no other worker that is up may be running the task, unless copies of it are allowed."""
+        others = [(other, run) for other, run in self._live.get(live.task, []) if _is_running(other, run)]
+        self._live[live.task] = [*others, (worker, live)]
+        elsewhere = [other.node for other, _ in others if other is not worker]
+        if elsewhere and not self.stage(live.task)["speculative"]:
+            self.find("TWICE", f"{live.task}: starts on {worker.node}, runs on {elsewhere}")
 
     def ended(self, worker: ModelWorker, live: LiveRun, how: str) -> None:
         """A run ended."""
@@ -134,3 +156,7 @@
 
     def noted(self, worker: ModelWorker, end: RunEnd) -> None:
         """An end was taken note of; nothing is checked of it here."""
+
+
+def _is_running(worker: ModelWorker, run: LiveRun) -> bool:
+    return worker.up and worker.life is run.life and run.life.running.get(run.task) is run
--- a/pipitledge/emulator/soak/run.py
+++ b/pipitledge/emulator/soak/run.py
@@ -18,6 +18,7 @@
 from pipitledge.emulator.soak.clients import Clients, Platform
 from pipitledge.emulator.soak.closing import Closing, wait_until_ready
 from pipitledge.emulator.soak.operator import Operator
+from pipitledge.emulator.soak.outage import Outage
 from pipitledge.emulator.soak.plan import SEEDS, Load, MachinePlan, SoakPlan, draw_plan, settings_text
 from pipitledge.emulator.soak.planned_work import PlannedWork
 from pipitledge.emulator.soak.processes import MachineProcess
@@ -94,7 +95,12 @@
         """Load and planned work at once; then account for all that was accepted."""
         clients = Clients(self.plan, self._platform, self.processes, self.record)
         clients.start()
+        outage = Outage(self.plan, self.processes, self._workers, self.record) if self.plan.load.outage else None
+        if outage is not None:
+            outage.start()
         PlannedWork(self.plan, self.processes, self._operator, self.record).run()
+        if outage is not None:
+            outage.wait()
         self._wait_for_stops()
         self._wait_until_ready(self.plan.deployment.bounds.recovery_s)
         clients.stop()
--- a/pipitledge/emulator/soak/workers.py
+++ b/pipitledge/emulator/soak/workers.py
@@ -110,6 +110,13 @@
             server.bind()
             server.start()
 
+    def crash(self, node: str, back_after_s: float | None) -> None:
+        """End the worker beside that agent at once; it comes back as a new instance, or never if that is None."""
+        index = next(index for index, worker in enumerate(self.workers) if worker.node == node)
+        self._executor.run(lambda: self.workers[index].crash(back_after_s), "crash")
+        if back_after_s is None:
+            self._servers[index].stop()
+
     def _server(self, machine: MachinePlan, worker: ModelWorker) -> HttpServer:
         exchange = HandlerExchange(self._executor, _handler(worker), ANSWER_SECONDS, "worker call")
         options = ServerOptions(f"worker {machine.name}", threads=2, max_threads=MOST_POLLS)
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -18,10 +18,12 @@
 
 from pipitledge.cli import experiment as cli
 from pipitledge.emulator.cluster.jobs import Job
+from pipitledge.emulator.cluster.worker import LiveRun, WorkerLife
 from pipitledge.emulator.soak import closing, run
 from pipitledge.emulator.soak.closing import Closing
 from pipitledge.emulator.soak.connection import CallEnd, KeptConnection, Outcome, parse_answer
-from pipitledge.emulator.soak.plan import Load, draw_plan, settings_text
+from pipitledge.emulator.soak.outage import Outage, draw_outage
+from pipitledge.emulator.soak.plan import Load, SoakPlan, draw_plan, settings_text
 from pipitledge.emulator.soak.processes import ROOT, MachineProcess, ProcessEnd
 from pipitledge.emulator.soak.record import HUNG_UP, TERMINATED, Finding, Record
 from pipitledge.emulator.soak.run import SoakVerdict, play_seeds
@@ -55,6 +57,49 @@
             draw_plan(7, Load(workers=246))
 
 
+class OutageTest(unittest.TestCase):
+    """What an outage of the core takes away, and what it leaves."""
+
+    def test_a_seed_draws_the_same_outage_again(self) -> None:
+        plan = draw_plan(7, Load())
+        self.assertEqual(draw_outage(plan), draw_outage(plan))
+        self.assertNotEqual(draw_outage(plan), draw_outage(draw_plan(8, Load())))
+
+    def test_no_quorum_is_left_and_each_kind_of_worker_is(self) -> None:
+        lost = 0
+        for seed in range(50):
+            plan = draw_plan(seed, Load())
+            outage = draw_outage(plan)
+            with self.subTest(seed):
+                self.assertLess(len(outage.nodes) - outage.killed_nodes, outage.killed_nodes)
+                self.assertTrue(outage.agents)
+                self.assertLess(outage.lost_s, outage.nodes_back_s)
+            if outage.lost_worker:
+                lost += 1
+                workers = {worker.node: worker for worker in plan.deployment.workers}
+                worker = workers.pop(outage.lost_worker)
+                self.assertIn((worker.service, worker.labels[0]), {(w.service, w.labels[0]) for w in workers.values()})
+                self.assertIn(outage.lost_worker, outage.agents)
+        self.assertGreater(lost, 25)
+
+    def kill(self, plan: SoakPlan, leading: str) -> list[str]:
+        processes = {machine.name: mock.Mock(is_up=True) for machine in plan.machines}
+        for name, process in processes.items():
+            process.leads.return_value = name == leading
+        outage = Outage(plan, processes, mock.Mock(), Record(200.0))
+        outage._kill()
+        return [machine.name for machine in plan.machines if processes[machine.name].kill.called]
+
+    def test_the_node_that_leads_is_spared_where_the_plan_says_so(self) -> None:
+        spared = [plan for seed in range(20) if draw_outage(plan := draw_plan(seed, Load())).spares_primary]
+        self.assertGreater(len(spared), 3)
+        for plan in spared:
+            for leading in ("n0", "n1", "n2"):
+                killed = self.kill(plan, leading)
+                self.assertEqual({"n0", "n1", "n2"} - {leading}, set(killed) & {"n0", "n1", "n2"})
+                self.assertLessEqual(set(draw_outage(plan).agents), set(killed))
+
+
 class AnswerTest(unittest.TestCase):
     WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}"
 
@@ -119,6 +164,47 @@
         self.call(Outcome.SILENT, 4.0)
         self.assertEqual(self.kinds(), ["LOST", "SILENT"])
 
+    def cut_by_kill(self, killed_at: float) -> list[str]:
+        self.record.findings.clear()
+        end = CallEnd(Outcome.CUT, 10.0, 11.0)
+        self.record.call_ended("n0", "GET /q0/", end, None, killed_at)
+        return self.kinds()
+
+    def test_a_call_is_lost_unless_its_process_was_killed_meanwhile(self) -> None:
+        self.assertEqual(self.cut_by_kill(10.9), [])
+        self.assertEqual(self.cut_by_kill(9.9), ["LOST"])
+        self.assertEqual(self.cut_by_kill(11.1), ["LOST"])
+
+    def test_a_call_without_an_answer_is_found_although_its_process_was_killed(self) -> None:
+        self.record.call_ended("n0", "GET /q0/", CallEnd(Outcome.SILENT, 10.0, 14.0), None, 11.0)
+        self.assertEqual(self.kinds(), ["SILENT"])
+
+    def test_a_process_killed_by_the_run_has_not_ended_by_itself(self) -> None:
+        self.record.process_ended(ProcessEnd("n0", None, 103.0, -9, False, True, False, by_outage=True))
+        self.assertEqual(self.kinds(), [])
+        self.record.process_ended(ProcessEnd("n0", None, 103.0, -9, False, True, False))
+        self.assertEqual(self.kinds(), ["ENDED"])
+
+    def begin(self, job: Job, node: str) -> mock.Mock:
+        life = WorkerLife(f"i-{node}", 0.0)
+        worker = mock.Mock(node=node, up=True, life=life)
+        live = LiveRun(f"{job.id}.0.0.0", 1, life)
+        life.running[live.task] = live
+        self.record.started(worker, live, job.body["spec"])
+        return worker
+
+    def test_two_runs_of_a_task_at_once_are_found(self) -> None:
+        queue = draw_plan(1, Load()).deployment.queues[0]
+        for speculative, crashes, kinds in ((False, False, ["TWICE"]), (False, True, []), (True, False, [])):
+            with self.subTest(speculative=speculative, crashes=crashes):
+                self.record = Record(loss_slack_ms=200.0)
+                stages = [{"count": 1, "speculative": speculative}]
+                job = Job("0" * 16, queue, {"spec": "", "stages": stages}, "", False, 0.0)
+                self.record.add_job(job)
+                self.begin(job, "s0").up = not crashes
+                self.begin(job, "s1")
+                self.assertEqual(self.kinds(), kinds)
+
     def end(
         self, exit_code: int, asked: bool = True, killed: bool = False, began: bool = True, finished: bool = True
     ) -> list[str]:
@@ -280,6 +366,21 @@
         self.assertTrue(self.machine.terminate_again())
         self.assertEqual(self.sent, [signal.SIGTERM, signal.SIGTERM])
 
+    def test_one_that_is_killed_is_down_until_it_is_started_again(self) -> None:
+        self.assertTrue(self.machine.is_up)
+        self.assertTrue(self.machine.kill(2.0))
+        self.assertFalse(self.machine.is_up)
+        self.assertFalse(self.machine.kill(2.0))
+        self.assertFalse(self.machine.terminate(6.0))
+        self.assertEqual(self.sent, [signal.SIGKILL])
+
+    def test_the_log_tells_whether_a_node_leads(self) -> None:
+        log = self.machine.folder / "log.txt"
+        for text, leads in (("", False), (" primary_active term=1", True), (" primary_ended term=1", False)):
+            with log.open("a") as file:
+                file.write(f"1 INFO replica{text} keys=0\n")
+            self.assertEqual(leads, self.machine.leads())
+
     def test_none_is_sent_to_a_process_that_is_gone(self) -> None:
         self.machine.terminate(6.0)
         self.process.poll.return_value = 0
@@ -323,6 +424,13 @@
         self.assertIn("  LOST at 2.50 s: a job", out)
         self.assertIn("1 runs, 1 with something found", out)
 
+    def test_a_folder_with_an_earlier_run_of_a_seed_is_refused(self) -> None:
+        """Its nodes would take up the data of that run, and workers would be told to run unknown jobs."""
+        with tempfile.TemporaryDirectory() as folder, contextlib.redirect_stderr(io.StringIO()) as told:
+            (Path(folder) / "5").mkdir()
+            self.assertEqual(cli.main(["soak", "--first", "4", "--count", "2", "--logs", folder]), 2)
+        self.assertIn(f"{folder}/5: a run with its data is there already", told.getvalue())
+
     def test_wrong_usage(self) -> None:
         for arguments in (["--workers", "0"], ["--trouble-s", "0"], ["--first", "-1"], ["--calls-per-s", "x"]):
             with self.subTest(arguments=arguments), contextlib.redirect_stderr(io.StringIO()):
