Agent: pass on the last ends of a leaving worker before its end is reported

The finished task is started again on another worker.

Cause: the answer that lists the last end also makes the worker idle, so its instance was declared over in the same event and its unreported ends were dropped with it. The same happened to ends that waited for a primary when the worker's port began to refuse.

Change: `agent/departure.py` decides when a leaving instance has ended. While ends that it listed are not acknowledged by the primary it has not; and where it still answers, not before one more hold has told it so (`lastSeen`). A worker that has exited gets no calls meanwhile and counts as silent, so that its expired leases are reported in any case.

--- a/pipitledge/agent/agent.py
+++ b/pipitledge/agent/agent.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Struct
 
+from pipitledge.agent.departure import has_left
 from pipitledge.agent.lease_grant import LeaseGrant
 from pipitledge.agent.lease_manager import LeaseChange, LeaseManager
 from pipitledge.agent.orders import CompletedOrder, OrderDispatcher
@@ -246,8 +247,6 @@
     # ---- changes at the worker
 
     def _lease_changed(self, change: LeaseChange) -> None:
-        if change is LeaseChange.LEFT:
-            self._end_instance()
         if change is LeaseChange.REPLACED:
             self._log.info("worker_replaced")
         if change is LeaseChange.FAILED and self._leases.failures == 1:
@@ -258,12 +257,15 @@
             self._reporter.release()
         self._drive()
 
-    def _end_instance(self) -> None:
+    def _end_left_instance(self) -> None:
+        """Report the end of an instance that announced its exit and has ended."""
         worker = self._instances.current
-        if worker is not None:
-            self._log.info("worker_left", instance=worker.instance)
-            self._dispatcher.instance_ended()
-            self._instances.mark_ended(worker.instance)
+        if worker is None or not has_left(worker, self._leases):
+            return
+        self._log.info("worker_left", instance=worker.instance)
+        self._dispatcher.instance_ended()
+        self._instances.mark_ended(worker.instance)
+        self._reporter.request_report()
 
     def _orders_changed(self, fenced: bool) -> None:
         if fenced:
@@ -272,6 +274,7 @@
 
     def _drive(self) -> None:
         """Send all calls and request all reports that are due after an event."""
+        self._end_left_instance()
         self._dispatcher.drive()
         self._leases.drive()
         self._report_new_results()
--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -59,7 +59,6 @@
     FAILED = "failed"
     FENCED = "fenced"  # the worker knows a higher fencing token
     REPLACED = "denied"  # another worker instance answered
-    LEFT = "left"  # the worker instance that announced its exit has ended
 
 
 class RunLists(Struct):
@@ -77,6 +76,7 @@
     worker: WorkerInstance
     number: int
     fence: int
+    last_seen: int  # ended runs up to this number are acknowledged
     sent_at: float
     wait_s: float  # how long the worker may wait for a run to end; 0 for a refresh or a renewal
     until: float | None  # the lease deadline that it carries (agent's clock); None: it extends nothing
@@ -142,6 +142,8 @@
         self._answered_at = -math.inf
         self._failures = 0
         self._retry_at = -math.inf
+        self._seen_by_worker = 0  # latest number of an ended run that the worker knows to be acknowledged
+        self._has_exited = False
 
     # ---- input from the agent and the order dispatcher
 
@@ -157,8 +159,10 @@
         self.acknowledged = number
         for passed in [end for end in self._ends if end <= number]:
             del self._ends[passed]
-        if self._more_ends and number >= self._last_end:
+        has_more = self._more_ends and number >= self._last_end
+        if has_more:
             self._more_ends = False
+        if has_more or self._worker.leaving:  # no poll need follow that tells a leaving worker of this
             self.request_refresh()
 
     def set_poll_interval(self, interval_s: float) -> None:
@@ -238,12 +242,28 @@
         """Whether the worker may still execute calls that an earlier process of this agent sent."""
         return self._clock.now() <= self._earlier_leases_until
 
+    def worker_has_exited(self) -> bool:
+        """Whether a worker that announced its exit refuses connections."""
+        return self._has_exited
+
+    def unanswered_leases_expired(self) -> bool:
+        """Whether the last hold call failed and all task leases have expired."""
+        return self._failures > 0 and self._clock.now() > self._expiry_at()
+
+    def is_idle(self) -> bool:
+        """Whether the worker runs nothing and no call of an earlier process can change that, as lists have shown.
+
+        All ended runs that it listed have been acknowledged to it.
+        """
+        nothing_runs = self.lists.number > 0 and not self.may_run() and not self.earlier_calls_may_arrive()
+        return nothing_runs and not self._more_ends and self._seen_by_worker >= self._last_end
+
     def is_silent(self) -> bool:
         """Whether the worker instance has stopped answering; then no call may extend the task leases.
 
-        Its last hold calls failed, all calls are unanswered, or another instance answered in its place.
+        Its last hold calls failed, all calls are unanswered, another instance answered in its place, or it has exited.
         """
-        if self._failures >= SILENT_AFTER_FAILURES:
+        if self._failures >= SILENT_AFTER_FAILURES or self._has_exited:
             return True
         worker = self._worker
         return worker is not None and (worker.replaced or (worker.silent and not worker.connection_refused))
@@ -265,9 +285,6 @@
         if worker is None or not self._fence or self._stopped:
             self._set_timer(None)
             return
-        if self._has_left(worker):
-            self._on_change(LeaseChange.LEFT)
-            return
         if self._clock.now() >= self._retry_at and self._may_call(worker):
             self._send_due(worker)
         self._set_timer(self._next_wakeup(worker))
@@ -276,19 +293,9 @@
         if self._instances.current is not self._worker:
             self._reset(self._instances.current)
 
-    def _has_left(self, worker: WorkerInstance) -> bool:
-        """Whether a worker that announced its exit has ended: no run can be running there any more.
-
-        An earlier process of this agent may have granted leases, or sent starts that the worker has yet to execute.
-        """
-        if not worker.leaving or worker.replaced:
-            return False
-        idle = self.lists.number > 0 and not self.may_run() and not self.earlier_calls_may_arrive()
-        return idle or (self._failures > 0 and self._clock.now() > self._expiry_at())
-
     def _may_call(self, worker: WorkerInstance) -> bool:
         """Whether any further call is made to that instance."""
-        return not worker.replaced and not self.has_abandoned_worker()
+        return not worker.replaced and not self._has_exited and not self.has_abandoned_worker()
 
     def _send_due(self, worker: WorkerInstance) -> None:
         if self._immediate_call is None and (self._refresh_is_due() or self._renewal_is_due()):
@@ -374,7 +381,7 @@
         now = self._clock.now()
         deadline = None if self.is_silent() else self._grant.deadline(worker)
         until = None if deadline is None else deadline.until
-        call = _HoldCall(worker, self._next_call_number, self._fence, now, wait_s, until)
+        call = _HoldCall(worker, self._next_call_number, self._fence, self.acknowledged, now, wait_s, until)
         self._next_call_number += 1
         if call.is_poll:
             self._poll_call = call
@@ -385,7 +392,7 @@
             self.record_sent_deadline(until)
         body = HoldBody(
             fence_token=call.fence,
-            last_seen=self.acknowledged,
+            last_seen=call.last_seen,
             deadline_ms=None if deadline is None else deadline.worker_ms,
             wait_ms=int(wait_s * MS_PER_S),
         )
@@ -408,8 +415,7 @@
             return self._handle_lists(call, answer)
         if reply.status == WRONG_INSTANCE:
             return LeaseChange.REPLACED
-        if reply.refused and call.worker.leaving:
-            return LeaseChange.LEFT
+        self._has_exited = self._has_exited or (reply.refused and call.worker.leaving)
         fenced = reply.status == CONFLICT and reply.reason == "fence"
         if call.number < self.lists.number or (fenced and call.fence < self._fence):
             return LeaseChange.NOTHING_NEW  # a later call has been answered since, so this failure says nothing
@@ -432,6 +438,7 @@
             self.record_confirmed_deadline(call.until, call.sent_at)
         has_news = call.fence > self._worker_fence
         self._worker_fence = max(self._worker_fence, call.fence)
+        self._seen_by_worker = max(self._seen_by_worker, call.last_seen)
         if call.number > self.lists.number:
             has_news = has_news or self.lists.number < self._confirming_number <= call.number
             running = [entry.to_message() for entry in answer.running]
--- a/tests/system/test_agent_abandonment.py
+++ b/tests/system/test_agent_abandonment.py
@@ -195,6 +195,10 @@
         self.site.run(1.0)
         self.loss_rate = self.random.choice((0.0, 0.3))
         events = [self.lose_primary, self.restart_agent, self.lose_worker, self.begin_term]
+        if self.random.random() < 0.4:
+            events.append(self.announce_exit)
+        if self.random.random() < 0.4:
+            events.append(lambda: self.site.worker.finish("a"))
         self.random.shuffle(events)
         for event in events:
             event()
@@ -216,6 +220,10 @@
     def lose_worker(self) -> None:
         self.site.worker.end()
 
+    def announce_exit(self) -> None:
+        if self.site.agent is not None and self.site.worker.listening:
+            self.site.agent.leave("i-1", lambda status, body: None)
+
     def begin_term(self) -> None:
         primary = self.site.primary
         primary.term += 1
--- /dev/null
+++ b/tests/system/test_agent_instances.py
@@ -0,0 +1,97 @@
+"""Tests how the agent tells which instance of its worker lives, and when a leaving one has ended."""
+
+from __future__ import annotations
+
+import unittest
+
+from pipitledge.wire.messages import AgentReport
+from tests.system.agent_worker import Site
+
+REPORT_S = 2.0  # until a report has certainly been sent
+SETTLE_S = 12.0  # until leases and late calls of an earlier process are over
+
+
+class InstanceCase(unittest.TestCase):
+    """A worker and its agent, some time after the agent's start."""
+
+    def setUp(self) -> None:
+        self.site = Site()
+        self.site.settle()
+        self.ended_while_running: list[str] = []
+        self.site.primary.on_report = self.check_report
+
+    def check_report(self, report: AgentReport) -> None:
+        """Note tasks that run on an instance that is reported as ended or as having no leases."""
+        live = self.site.worker.instance_model
+        over = {*report.ended_instances, report.lapsed_instance}
+        if self.site.worker.listening and live.instance in over:
+            self.ended_while_running += live.running
+
+    def assert_no_end_was_reported_too_early(self) -> None:
+        self.assertEqual([], self.ended_while_running)
+
+    def start(self, task: str) -> None:
+        """Start a task, which the primary orders once."""
+        self.site.order_start(task)
+        self.site.run(0.5)
+        self.site.primary.starts.clear()
+        self.assertIn(task, self.site.worker.instance_model.running)
+
+    def leave(self) -> None:
+        """Announce the exit; the worker serves on."""
+        assert self.site.agent is not None
+        self.site.agent.leave(self.site.worker.instance_model.instance, lambda status, body: None)
+
+    def ended(self) -> list[str]:
+        """All instances reported as ended."""
+        return [name for report in self.site.primary.reports for name in report.ended_instances]
+
+    def first_report(self, instance: str) -> int:
+        """The number of the first report that tells the end of that instance."""
+        return next(r.number for r in self.site.primary.reports if instance in r.ended_instances)
+
+
+class LastEnds(InstanceCase):
+    """Ended runs that a leaving worker lists (review case 3)."""
+
+    def check_end_came_first(self) -> None:
+        end = next(r.number for r in self.site.primary.reports if any(e.task == "a" for e in r.finished))
+        self.assertLess(end, self.first_report("i-1"))
+
+    def test_the_last_end_is_reported_and_acknowledged_before_the_end_of_the_instance(self) -> None:
+        """Guards against TWICE of review case 3: the end was dropped, and the finished task started again."""
+        self.start("a")
+        self.leave()
+        self.site.run(3.0)
+        self.site.worker.finish("a")
+        self.site.run(REPORT_S)
+        self.check_end_came_first()
+        self.assertEqual(1, self.site.worker.calls_of_kind("hold")[-1].body["lastSeen"])
+        calls = len(self.site.worker.sent)
+        self.site.run(5.0)
+        self.assertEqual(calls, len(self.site.worker.sent))
+
+    def test_the_last_end_is_reported_although_the_worker_has_gone_meanwhile(self) -> None:
+        """Guards against losing an end that was listed while the primary could not be reached."""
+        self.start("a")
+        self.leave()
+        self.site.primary.reachable = False
+        self.site.worker.finish("a")
+        self.site.run(0.5)
+        self.site.worker.end()
+        self.site.run(2.0)
+        self.site.primary.reachable = True
+        self.site.run(2 * REPORT_S)
+        self.check_end_came_first()
+
+    def test_a_worker_without_ends_that_has_gone_is_reported_at_once(self) -> None:
+        """Guards against a wait for acknowledgements where there is nothing to acknowledge."""
+        self.start("a")
+        self.leave()
+        self.site.worker.end()
+        self.site.run(REPORT_S)
+        self.assertIn("i-1", self.ended())
+
+
+if __name__ == "__main__":
+    unittest.main()
