Agent: a leaving worker has not ended while an order to it is open

The start is reported as gone, the task starts elsewhere, and the worker carries the start out 2.5 s later.

Cause: a leaving worker counted as idle by lists in which an unanswered start does not stand yet; then all its open orders were completed as gone.

Change: it has ended only when no order is open.

--- a/pipitledge/agent/agent.py
+++ b/pipitledge/agent/agent.py
@@ -260,7 +260,7 @@
     def _end_left_instance(self) -> None:
         """Report the end of an instance that announced its exit and has ended."""
         worker = self._instances.current
-        if worker is None or not has_left(worker, self._leases):
+        if worker is None or not has_left(worker, self._leases, self._dispatcher):
             return
         self._log.info("worker_left", instance=worker.instance)
         self._dispatcher.instance_ended()
--- a/tests/system/test_agent_instances.py
+++ b/tests/system/test_agent_instances.py
@@ -5,7 +5,7 @@
 import unittest
 
 from pipitledge.wire.messages import AgentReport
-from tests.system.agent_worker import Site
+from tests.system.agent_worker import LostCall, Site
 
 REPORT_S = 2.0  # until a report has certainly been sent
 SETTLE_S = 12.0  # until leases and late calls of an earlier process are over
@@ -51,6 +51,42 @@
         return next(r.number for r in self.site.primary.reports if instance in r.ended_instances)
 
 
+class OpenOrders(InstanceCase):
+    """A worker that leaves with orders unanswered (review case 2)."""
+
+    def test_a_start_that_is_executed_late_is_stopped_before_the_end_is_reported(self) -> None:
+        """Guards against TWICE of review case 2: the start was reported as gone, and the run began seconds later."""
+        self.site.worker.lose_call = lambda sent: LostCall(2.5) if sent.kind == "run-start" else None
+        self.site.order_start("a")
+        self.site.run(0.1)
+        self.leave()
+        self.site.run(5.0)
+        self.assert_no_end_was_reported_too_early()
+        self.assertEqual([], [run.task for run in self.site.worker.started_runs])
+        self.assertIn("i-1", self.ended())
+        self.assertIn("draining", [outcome for _, _, _, outcome in self.site.primary.results()])
+
+    def test_a_start_that_has_begun_before_it_is_stopped_is_waited_for(self) -> None:
+        """Guards against the same where the late start comes before the stop."""
+        self.site.worker.lose_call = lambda sent: LostCall(0.3) if sent.kind == "run-start" else None
+        self.site.order_start("a")
+        self.site.run(0.1)
+        self.leave()
+        self.site.run(SETTLE_S)
+        self.assert_no_end_was_reported_too_early()
+        self.assertIn("i-1", self.ended())
+
+    def test_a_leaving_worker_that_answers_nothing_ends_with_its_leases(self) -> None:
+        """Guards against waiting for ever for the answer to a stop."""
+        self.site.worker.lose_call = lambda sent: LostCall(1.0) if sent.kind == "run-start" else LostCall()
+        self.site.order_start("a")
+        self.site.run(0.1)
+        self.leave()
+        self.site.run(SETTLE_S)
+        self.assert_no_end_was_reported_too_early()
+        self.assertIn("i-1", self.ended())
+
+
 class LastEnds(InstanceCase):
     """Ended runs that a leaving worker lists (review case 3)."""
 
