Agent: a heartbeat ends no worker instance until the new one has answered a call

The living one is reported as ended, its task starts once more elsewhere, and its worker gets no work any more; after a restart of the agent the same.

Cause: any unknown id in a heartbeat began a new instance, and the current one counted as ended for good. Heartbeats carry nothing that orders two instances. The instance that the primary names was also ended by a heartbeat of another.

Change: an unknown instance is a candidate, and is called (agent/confirmation.py). If it answers, the one before has ended; on 421 it has itself; until then nothing changes. The instance that the primary names goes before one that has not answered. The latest deadline is kept with the instance to which it was sent. The model primary of the tests takes up an instance as the real one does: a known one is replaced only by one that answered.

--- a/pipitledge/agent/agent.py
+++ b/pipitledge/agent/agent.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Struct
 
+from pipitledge.agent.confirmation import InstanceConfirmation
 from pipitledge.agent.departure import has_left
 from pipitledge.agent.lease_grant import LeaseGrant
 from pipitledge.agent.lease_manager import LeaseChange, LeaseManager
@@ -115,6 +116,7 @@
         self._dispatcher = OrderDispatcher(
             clock, client, self._instances, self._grant, self._leases, self._orders_changed
         )
+        self._confirmation = InstanceConfirmation(clock, client, self._instances, self._drive)
         self._reporter = Reporter(clock, primary, self._build_report, self._report_answered, self._interval)
 
     # ---- called by the program
@@ -130,6 +132,7 @@
     def stop(self) -> None:
         """Send no more messages; running tasks keep their leases until these expire."""
         self._reporter.stop()
+        self._confirmation.stop()
         self._dispatcher.stop()
         self._leases.stop()
 
@@ -142,6 +145,8 @@
             return
         if effect is HeartbeatEffect.NEW_INSTANCE:
             self._dispatcher.instance_ended()
+        if effect is HeartbeatEffect.UNCONFIRMED:
+            self._log.info("worker_unconfirmed", instance=instance)
         if effect in (HeartbeatEffect.NEW_INSTANCE, HeartbeatEffect.CONFIRMED, HeartbeatEffect.DRAINING):
             self._log.info("worker_" + effect.value, instance=instance)
             self._reporter.request_report()
@@ -151,8 +156,8 @@
     def leave(self, instance: str, respond: Respond) -> None:
         """Process the announced exit of a worker: the instance has ended once no run can be running there."""
         self._instances.assume_current(instance)
-        worker = self._instances.current
-        if worker is not None and worker.instance == instance:
+        worker = self._instances.find(instance)
+        if worker is not None:
             self._log.info("worker_leaves", instance=instance)
             worker.draining = True
             worker.leaving = True
@@ -229,6 +234,7 @@
         self._log.info("term", term=term, primary=primary)
         self._term = term
         self._leases.set_fence(term)
+        self._confirmation.set_fence(term)
         self._dispatcher.set_fence(term)
         if self._instances.current is not None and not self._instances.current.replaced:
             self._reporter.postpone(FENCE_WAIT_S)
@@ -241,8 +247,10 @@
             self._instances.report_again(instance)
         elif worker is None:
             self._instances.assume_current(instance)
-        elif worker.instance != instance and worker.info is not None:
+        elif worker.instance != instance and worker.confirmed:
             self._instances.mark_ended(instance)
+        elif worker.instance != instance:
+            self._instances.prefer(instance)
 
     # ---- changes at the worker
 
@@ -250,13 +258,21 @@
         if change is LeaseChange.REPLACED:
             self._log.info("worker_replaced")
         if change is LeaseChange.FAILED and self._leases.failures == 1:
-            self._log_evidence("hold_failed")
+            self._log.info("hold_failed", **self._evidence())
         if change not in (LeaseChange.NOTHING_NEW, LeaseChange.FAILED):
             self._reporter.request_report()
         if change is LeaseChange.FAILED or self._leases.worker_has_fence():
             self._reporter.release()
         self._drive()
 
+    def _settle_candidate(self) -> None:
+        """Switch to an instance that has been confirmed as the current one."""
+        worker = self._instances.settle_candidate()
+        if worker is not None:
+            self._dispatcher.instance_ended()
+            self._log.info("worker_" + HeartbeatEffect.NEW_INSTANCE.value, instance=worker.instance)
+            self._reporter.request_report()
+
     def _end_left_instance(self) -> None:
         """Report the end of an instance that announced its exit and has ended."""
         worker = self._instances.current
@@ -274,6 +290,8 @@
 
     def _drive(self) -> None:
         """Send all calls and request all reports that are due after an event."""
+        self._settle_candidate()
+        self._confirmation.drive()
         self._end_left_instance()
         self._dispatcher.drive()
         self._leases.drive()
@@ -306,23 +324,22 @@
         """Log when the calls to a worker instance end, with what is known of it by then."""
         abandoned = self._instances.current if self._leases.has_abandoned_worker() else None
         if abandoned is not None and abandoned is not self._abandoned_instance:
-            self._log_evidence("worker_abandoned")
+            self._log.info("worker_abandoned", **self._evidence())
         self._abandoned_instance = abandoned
 
-    def _log_evidence(self, event: str) -> None:
-        """Log an event with all by which a worker instance is judged to be alive or over."""
+    def _evidence(self) -> dict[str, object]:
+        """Log fields with all by which the current worker instance is judged to be alive or over."""
         worker = self._instances.current
         if worker is None:
-            return
-        self._log.info(
-            event,
-            instance=worker.instance,
-            term=self._term,
-            failures=self._leases.failures,
-            heartbeat_age_s=round(self._clock.now() - worker.last_heartbeat_at, 3),
-            lease_left_s=round(self._leases.lease_left_s(), 3),
-            silent=self._leases.is_silent(),
-        )
+            return {}
+        return {
+            "instance": worker.instance,
+            "term": self._term,
+            "failures": self._leases.failures,
+            "heartbeat_age_s": round(self._clock.now() - worker.last_heartbeat_at, 3),
+            "lease_left_s": round(self._leases.lease_left_s(), 3),
+            "silent": self._leases.is_silent(),
+        }
 
     # ---- reports
 
--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -137,7 +137,6 @@
         self._poll_wait = PollWaitEstimator()
         self._confirmed_until = 0.0  # latest deadline that the worker confirmed
         self._confirmed_from = 0.0
-        self._latest_sent_until = 0.0  # latest deadline that the worker may have received
         self._polled_at = -math.inf
         self._answered_at = -math.inf
         self._failures = 0
@@ -179,7 +178,8 @@
 
     def record_sent_deadline(self, until: float) -> None:
         """A call with that lease deadline was sent; the worker may have accepted it."""
-        self._latest_sent_until = max(self._latest_sent_until, until)
+        if self._worker is not None:
+            self._worker.latest_deadline = max(self._worker.latest_deadline, until)
 
     def record_confirmed_deadline(self, until: float, sent_at: float) -> None:
         """The worker confirmed that lease deadline, carried by a call sent at `sent_at`."""
@@ -274,7 +274,8 @@
 
     def _expiry_at(self) -> float:
         """When the latest deadline that the worker may know has passed."""
-        return max(self._latest_sent_until, self._earlier_leases_until)
+        latest = self._worker.latest_deadline if self._worker is not None else 0.0
+        return max(latest, self._earlier_leases_until)
 
     # ---- which call is due
 
--- a/pipitledge/agent/worker_client.py
+++ b/pipitledge/agent/worker_client.py
@@ -66,6 +66,7 @@
         if answer.status == WRONG_INSTANCE:
             worker.replaced = True
             return WorkerReply(WRONG_INSTANCE)
+        worker.confirmed = True
         common = _read_answer(answer.body)
         if common.clock_ms is not None:
             worker.clock.record_reading(common.clock_ms, now)
--- a/pipitledge/agent/worker_instance.py
+++ b/pipitledge/agent/worker_instance.py
@@ -29,11 +29,13 @@
         self.draining = False  # announced that it is draining; no start may be sent any more
         self.leaving = False  # announced its exit, which follows shortly
         self.replaced = False  # another instance answered a call addressed to this one
+        self.confirmed = False  # it answered a call itself, so the instances before it have ended
         self.response_times = ResponseTimeEstimator()
         self.unanswered = 0  # consecutive calls without an answer
         self.connection_refused = False  # the connection of the last failed call was refused
         self.silent_since: float | None = None  # when the first of the unanswered calls was sent
         self.answered_at = last_heartbeat_at
+        self.latest_deadline = 0.0  # of its task leases, of all that it may have received (agent's clock)
 
     @property
     def silent(self) -> bool:
@@ -72,6 +74,7 @@
     DRAINING = "draining"  # the first that announces draining
     CONFIRMED = "confirmed"  # the first of an instance of which only the id was known
     NEW_INSTANCE = "new_life"
+    UNCONFIRMED = "unconfirmed"  # of an instance that may replace the current one, or may have ended before it
 
 
 class BadHeartbeat(Struct, frozen=True):
@@ -81,7 +84,11 @@
 
 
 class InstanceTracker:
-    """Tracks the current instance of the worker and the instances known to have ended."""
+    """Tracks the current instance of the worker and the instances known to have ended.
+
+    An instance ends for certain when it leaves, when another one answers in its place, or when one that came after it
+    answers. A heartbeat of an unknown instance only makes it the candidate for the current one.
+    """
 
     def __init__(self, clock: Clock) -> None:
         """Start without a known instance."""
@@ -89,6 +96,7 @@
         self._ended: set[str] = set()
         self._unreported: list[str] = []
         self.current: WorkerInstance | None = None
+        self.candidate: WorkerInstance | None = None  # sent a heartbeat; it is not known whether it is the later one
 
     def heartbeat(self, instance: str, body: bytes) -> HeartbeatEffect | BadHeartbeat:
         """Process a heartbeat; a malformed one changes nothing."""
@@ -98,10 +106,42 @@
         if instance in self._ended:
             return HeartbeatEffect.IGNORED
         worker = self.current
-        if worker is None or worker.instance != instance:
-            return self._begin_instance(instance, message)
+        if worker is None or (worker.replaced and worker.instance != instance):
+            self._begin_instance(WorkerInstance(instance, self._clock.now()), message)
+            return HeartbeatEffect.NEW_INSTANCE
+        if worker.instance != instance:
+            return self._renew_candidate(instance, message)
         return self._renew(worker, message)
 
+    def find(self, instance: str) -> WorkerInstance | None:
+        """The current instance or the candidate, if it has that id."""
+        known = (self.current, self.candidate)
+        return next((worker for worker in known if worker is not None and worker.instance == instance), None)
+
+    def settle_candidate(self) -> WorkerInstance | None:
+        """Make the candidate the current instance, or drop it, once that is certain. Return a new current instance."""
+        candidate = self.candidate
+        if candidate is None:
+            return None
+        if candidate.replaced:
+            self.mark_ended(candidate.instance)
+            return None
+        if not (candidate.confirmed or self.current is None or self.current.replaced):
+            return None
+        if self.current is not None:
+            self.mark_ended(self.current.instance)
+        self.current, self.candidate = candidate, None
+        return candidate
+
+    def prefer(self, instance: str) -> None:
+        """The primary knows `instance`; an unconfirmed current one becomes the candidate until it answers."""
+        current, candidate = self.current, self.candidate
+        self.candidate = current
+        if candidate is not None and candidate.instance == instance:
+            self.current = candidate
+        else:
+            self.current = WorkerInstance(instance, self._clock.now())
+
     def assume_current(self, instance: str) -> None:
         """Assume that `instance` is the current one, as the primary does, until a heartbeat arrives."""
         if self.current is None and instance not in self._ended:
@@ -114,6 +154,8 @@
             self._unreported.append(instance)
         if self.current is not None and self.current.instance == instance:
             self.current = None
+        if self.candidate is not None and self.candidate.instance == instance:
+            self.candidate = None
 
     def has_ended(self, instance: str) -> bool:
         """Whether that instance is known to have ended."""
@@ -143,13 +185,19 @@
         age_ms = int((self._clock.now() - worker.last_heartbeat_at) * MS_PER_S)
         return msgspec.structs.replace(worker.info, heartbeat_age_ms=age_ms)
 
-    def _begin_instance(self, instance: str, message: HeartbeatBody) -> HeartbeatEffect:
-        """Switch to a new instance; the previous one has ended."""
+    def _begin_instance(self, worker: WorkerInstance, message: HeartbeatBody) -> None:
+        """Switch to a new instance; the previous one, if any, has ended."""
         if self.current is not None:
             self.mark_ended(self.current.instance)
-        self.current = WorkerInstance(instance, self._clock.now())
-        self._renew(self.current, message)
-        return HeartbeatEffect.NEW_INSTANCE
+        self.current = worker
+        self._renew(worker, message)
+
+    def _renew_candidate(self, instance: str, message: HeartbeatBody) -> HeartbeatEffect:
+        """Process a heartbeat of an instance that is not the current one; the one heard last is the candidate."""
+        if self.candidate is None or self.candidate.instance != instance:
+            self.candidate = WorkerInstance(instance, self._clock.now())
+        self._renew(self.candidate, message)
+        return HeartbeatEffect.UNCONFIRMED
 
     def _renew(self, worker: WorkerInstance, message: HeartbeatBody) -> HeartbeatEffect:
         """Process a heartbeat of the current instance."""
--- a/tests/system/agent_worker.py
+++ b/tests/system/agent_worker.py
@@ -407,7 +407,7 @@
     def handle(self, report: AgentReport) -> AgentOrders:
         self.reports.append(report)
         self.report_times.append(self.world.time)
-        if report.worker is not None:
+        if report.worker is not None and self._enters(report, report.worker.instance):
             self.instance = report.worker.instance
             if report.finished and self.acknowledges:
                 newest = report.finished[-1].number
@@ -415,6 +415,11 @@
         self.on_report(report)
         return self.orders(report)
 
+    def _enters(self, report: AgentReport, instance: str) -> bool:
+        """Whether the report describes the known instance, or one that has answered a hold call under this term."""
+        answered = report.hold_number > 0 and report.hold_fence == self.term
+        return answered or self.instance in ("", instance)
+
     def record_delivered(self, orders: AgentOrders) -> None:
         known = self.delivered_acknowledgements.get(orders.instance, 0)
         self.delivered_acknowledgements[orders.instance] = max(known, orders.acknowledged)
--- a/tests/system/test_agent_abandonment.py
+++ b/tests/system/test_agent_abandonment.py
@@ -7,7 +7,7 @@
 
 from pipitledge.agent.worker_clock import MIN_CLOCK_RATE
 from pipitledge.wire.messages import AgentOrders, AgentReport
-from tests.system.agent_worker import HEARTBEAT_S, LostCall, Site
+from tests.system.agent_worker import HEARTBEAT_S, InstanceModel, LostCall, Site
 
 HOLD_MAX_S = 6.0
 EARLIER_LEASES_S = HOLD_MAX_S / MIN_CLOCK_RATE
@@ -199,6 +199,8 @@
             events.append(self.announce_exit)
         if self.random.random() < 0.4:
             events.append(lambda: self.site.worker.finish("a"))
+        if self.random.random() < 0.4:
+            events.append(self.deliver_late_heartbeat)
         self.random.shuffle(events)
         for event in events:
             event()
@@ -224,6 +226,11 @@
         if self.site.agent is not None and self.site.worker.listening:
             self.site.agent.leave("i-1", lambda status, body: None)
 
+    def deliver_late_heartbeat(self) -> None:
+        """Deliver the heartbeat of an instance that had ended before the agent started."""
+        ended = InstanceModel("i-0", 0.0, sequence=7)
+        self.site.worker.deliver(ended, self.site.worker.heartbeat_body(ended))
+
     def begin_term(self) -> None:
         primary = self.site.primary
         primary.term += 1
--- a/tests/system/test_agent_instances.py
+++ b/tests/system/test_agent_instances.py
@@ -5,7 +5,7 @@
 import unittest
 
 from pipitledge.wire.messages import AgentReport
-from tests.system.agent_worker import LostCall, Site
+from tests.system.agent_worker import HEARTBEAT_S, InstanceModel, LostCall, Sent, Site
 
 REPORT_S = 2.0  # until a report has certainly been sent
 SETTLE_S = 12.0  # until leases and late calls of an earlier process are over
@@ -51,6 +51,108 @@
         return next(r.number for r in self.site.primary.reports if instance in r.ended_instances)
 
 
+class LateHeartbeat(InstanceCase):
+    """A heartbeat of an ended instance that comes when the next one is at work (review case 1)."""
+
+    def restart_worker(self) -> InstanceModel:
+        """Have the worker start, send one heartbeat that is under way for long, crash, and start again."""
+        worker = self.site.worker
+        worker.heartbeats_delivered = False
+        worker.crash(restart_after=0.2)
+        self.site.run(0.5)
+        unseen = worker.instance_model
+        worker.heartbeats_delivered = True
+        worker.crash(restart_after=0.2)
+        self.site.run(1.0)
+        self.assertEqual("i-3", worker.instance_model.instance)
+        return unseen
+
+    def deliver_late(self, unseen: InstanceModel) -> None:
+        unseen.sequence += 1
+        self.site.worker.deliver(unseen, self.site.worker.heartbeat_body(unseen))
+
+    def assert_serves(self, instance: str) -> None:
+        """The worker is reported as that instance, and gets work."""
+        last = self.site.primary.last
+        self.assertEqual(instance, last.worker and last.worker.instance)
+        self.start("later")
+
+    def test_it_does_not_end_the_living_instance(self) -> None:
+        """Guards against TWICE of review case 1: the living instance was reported as ended for good."""
+        unseen = self.restart_worker()
+        self.start("a")
+        self.deliver_late(unseen)
+        self.site.run(2 * HEARTBEAT_S)
+        self.assert_no_end_was_reported_too_early()
+        self.assertIn("a", self.site.worker.instance_model.running)
+        self.assertNotIn("i-3", self.ended())
+        self.assert_serves("i-3")
+
+    def test_it_does_not_end_the_living_instance_after_a_restart_of_the_agent(self) -> None:
+        """Guards against the same after the agent has forgotten which instances have ended."""
+        unseen = self.restart_worker()
+        self.start("a")
+        self.site.kill()
+        self.site.start()
+        self.site.run(HEARTBEAT_S + 0.1)
+        self.deliver_late(unseen)
+        self.site.run(2 * HEARTBEAT_S)
+        self.assert_no_end_was_reported_too_early()
+        self.assertNotIn("i-3", self.ended())
+        self.assert_serves("i-3")
+
+    def test_it_may_be_the_first_that_a_restarted_agent_gets(self) -> None:
+        """Guards against ending the instance that the primary names, for a heartbeat that nothing confirms."""
+        unseen = self.restart_worker()
+        self.start("a")
+        self.site.kill()
+        self.site.start()
+        self.deliver_late(unseen)
+        self.site.run(2 * HEARTBEAT_S)
+        self.assert_no_end_was_reported_too_early()
+        self.assertNotIn("i-3", self.ended())
+        self.assert_serves("i-3")
+
+    def test_the_living_instance_is_reported_when_it_is_lost_after_it(self) -> None:
+        """Guards against LOST: a restarted agent knows the late instance alone, and asks for no other."""
+        unseen = self.restart_worker()
+        self.start("a")
+        self.site.kill()
+        self.site.worker.end()
+        self.site.start()
+        self.deliver_late(unseen)
+        self.site.run(SETTLE_S)
+        told = {report.lapsed_instance for report in self.site.primary.reports} | set(self.ended())
+        self.assertIn("i-3", told)
+
+    def test_a_new_instance_whose_first_call_is_lost_is_called_again(self) -> None:
+        """Guards against a new instance that is never confirmed, and so never gets work."""
+        lost = [LostCall(), LostCall()]
+
+        def lose(sent: Sent) -> LostCall | None:
+            return lost.pop() if sent.instance == "i-2" and lost else None
+
+        self.site.worker.lose_call = lose
+        self.site.worker.crash(restart_after=0.2)
+        self.site.run(4 * HEARTBEAT_S)
+        self.assertEqual([], lost)
+        self.assertIn("i-1", self.ended())
+        self.assert_serves("i-2")
+
+    def test_a_new_instance_that_leaves_before_it_was_confirmed_gets_no_start(self) -> None:
+        """Guards against work for a worker whose exit was announced and acknowledged."""
+        self.site.worker.lose_call = lambda sent: LostCall() if sent.instance == "i-2" else None
+        self.site.worker.crash(restart_after=0.2)
+        self.site.run(0.3)
+        self.leave()
+        self.site.worker.lose_call = lambda sent: None
+        self.site.run(2 * HEARTBEAT_S)
+        self.site.primary.instance = "i-2"
+        self.site.order_start("b")
+        self.site.run(REPORT_S)
+        self.assertEqual([], [run.task for run in self.site.worker.started_runs])
+
+
 class OpenOrders(InstanceCase):
     """A worker that leaves with orders unanswered (review case 2)."""
 
