Tests: the test of other processes' ports takes no port for free

Change: it offers a hundred ports after those of the other process, and expects one of them: still every port of the other process must have been refused first.

--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -28,10 +28,11 @@
     assert other.stdin is not None and other.stdout is not None
     with other:
         theirs = [int(port) for port in other.stdout.readline().split()]
-        offered = iter([*theirs, 10_001])
+        others = [port for port in range(10_001, 10_101) if port not in theirs]  # any may be held by another test
+        offered = iter([*theirs, *others])
         mine = ports.Ports()
         monkeypatch.setattr(mine._random, "randint", lambda first, last: next(offered))
-        assert mine.take() == 10_001
+        assert mine.take() in others
         other.stdin.close()
 
 
