Agent: ask a worker whose heartbeats are missing; search of orders of events

What callers would see (LOST): an agent is started again with a start unanswered; its one call is answered, and the worker is lost before its first heartbeat to the new process. The task stays assigned for ever.

An idle worker is called only when something has changed. The open start waits for a heartbeat, so no call is due, none fails, and nothing is reported.

Change: a worker that misses heartbeats is asked at each further interval, until it answers or its expired leases are reported. Nothing changes for one whose heartbeats come.

tests/system/agent_search.py plays the shipped agent beside a sound worker and a judge that frees runs as the primary does: start (answered, late), DELETE, draining, end, late heartbeat of an ended instance, restart of the agent, outage, new term, crash, loss, late hold.

--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -4,7 +4,7 @@
 There are three kinds, in this order of precedence:
 
 - a *refresh*, answered at once: after a change of the term or of the worker instance (it gives the worker the new
-  fencing token), or when lists newer than the answer to an order are needed;
+  fencing token), when lists newer than the answer to an order are needed, or when heartbeats are missing;
 - a *renewal*, answered at once: when a deadline would expire before the pending poll returns;
 - a *poll*, answered when the next run ends (long polling): as long as any run may be running.
 
@@ -234,9 +234,15 @@
         Calls end only in a state that each report tells the primary (`leases_expired`). Otherwise nothing would ever
         change that state, and the primary would wait for the runs of the worker for ever.
         """
-        if self._worker is None or not self.leases_expired():
-            return False
-        return self._clock.now() - self._worker.last_heartbeat_at > MISSED_HEARTBEATS * self._heartbeat_s
+        return self._worker is not None and self.leases_expired() and self._clock.now() > self._missed_at(self._worker)
+
+    def _missed_at(self, worker: WorkerInstance) -> float:
+        """From when the worker counts as one that sends no heartbeats, unless another one comes."""
+        return worker.last_heartbeat_at + MISSED_HEARTBEATS * self._heartbeat_s
+
+    def _check_at(self, worker: WorkerInstance) -> float:
+        """When a worker that sends no heartbeats is asked whether it is there; an idle one would not be missed else."""
+        return max(self._missed_at(worker), self._answered_at + self._heartbeat_s)
 
     def earlier_calls_may_arrive(self) -> bool:
         """Whether the worker may still execute calls that an earlier process of this agent sent."""
@@ -299,7 +305,8 @@
         return not worker.replaced and not self._has_exited and not self.has_abandoned_worker()
 
     def _send_due(self, worker: WorkerInstance) -> None:
-        if self._immediate_call is None and (self._refresh_is_due() or self._renewal_is_due()):
+        check_is_due = self._clock.now() >= self._check_at(worker)
+        if self._immediate_call is None and (check_is_due or self._refresh_is_due() or self._renewal_is_due()):
             self._send(worker, 0.0)
         elif self._poll_is_due():
             self._send(worker, self._poll_wait_s() if not self._failures else 0.0)
@@ -346,21 +353,23 @@
     def _next_wakeup(self, worker: WorkerInstance) -> float | None:
         """When the next timer is needed, for a call or to report expired leases; None if there is none."""
         now = self._clock.now()
-        call_at = self._next_call_at(now) if self._may_call(worker) else None
+        call_at = self._next_call_at(worker, now) if self._may_call(worker) else None
         expiry_at = self._expiry_at() + EXPIRY_CHECK_DELAY_S
         if not self.is_silent() or expiry_at <= now:
             return call_at
         return expiry_at if call_at is None else min(call_at, expiry_at)
 
-    def _next_call_at(self, now: float) -> float | None:
+    def _next_call_at(self, worker: WorkerInstance, now: float) -> float | None:
         """When the next call becomes due without any other event; None if there is none."""
         if now < self._retry_at:
             return self._retry_at
-        if not self.may_run():
-            return None
-        times = [] if self._poll_call or self._immediate_call else [self._poll_at()]
+        times = []
         if self._immediate_call is None:
+            times.append(self._check_at(worker))
+        if self.may_run() and self._immediate_call is None:
             times.append(self._renewal_at())
+            if self._poll_call is None:
+                times.append(self._poll_at())
         return min((time for time in times if time > now), default=None)
 
     def _set_timer(self, when: float | None) -> None:
