Agent: judge a leaving worker by lists of the present term

The worker is reported as ended and carries the start out afterwards.

Cause: a new term discards the open orders, so none was left to wait for, and the lists of the term before, which show no run, counted as proof. They are not: the worker refuses starts of the earlier term only once it has the new fencing token.

Change: only lists of a call under the present term show that nothing runs. The judge of the search frees a run also for a start refused as `old`, as the primary does.

--- a/pipitledge/agent/lease_manager.py
+++ b/pipitledge/agent/lease_manager.py
@@ -257,11 +257,13 @@
         return self._failures > 0 and self._clock.now() > self._expiry_at()
 
     def is_idle(self) -> bool:
-        """Whether the worker runs nothing and no call of an earlier process can change that, as lists have shown.
+        """Whether the worker runs nothing, as lists of this term show, and no earlier process can change that.
 
-        All ended runs that it listed have been acknowledged to it.
+        Starts of an earlier term are refused once the worker has the fencing token of this one. All ended runs that it
+        listed have been acknowledged to it.
         """
-        nothing_runs = self.lists.number > 0 and not self.may_run() and not self.earlier_calls_may_arrive()
+        has_lists = self.lists.number > 0 and self.lists.fence == self._fence
+        nothing_runs = has_lists and not self.may_run() and not self.earlier_calls_may_arrive()
         return nothing_runs and not self._more_ends and self._seen_by_worker >= self._last_end
 
     def is_silent(self) -> bool:
--- a/tests/system/agent_search.py
+++ b/tests/system/agent_search.py
@@ -157,10 +157,11 @@
 
     def _was_refused(self, report: AgentReport) -> bool:
         """Whether the start was refused for certain."""
-        if report.worker is None or report.term != self.site.primary.term:
+        listed = any(entry.task == TASK for entry in report.running)
+        if report.worker is None or report.term != self.site.primary.term or listed:
             return False
         return any(
-            result.task == TASK and result.outcome not in ("started", "old") and report.hold_number >= result.at_hold
+            result.task == TASK and result.outcome != "started" and report.hold_number >= result.at_hold
             for result in report.results
         )
 
--- a/tests/system/test_agent_search.py
+++ b/tests/system/test_agent_search.py
@@ -17,7 +17,7 @@
         self.assertGreater(played, 600)
 
     def test_orders_that_once_broke_a_rule(self) -> None:
-        """Guards against review cases 1, 2, 3, 5 and 6, and a worker lost before the first heartbeat to a new agent."""
+        """Guards against review cases 1, 2, 3, 5 and 6, and what this search found itself."""
         for case, events, pause_s in (
             ("1", "sB", 0.8),
             ("2", "LsD", 0.1),
@@ -25,6 +25,7 @@
             ("5", "sORXP", 6.0),
             ("6", "sHRD", 0.1),
             ("first heartbeat", "LsRX", 0.1),
+            ("lists of an earlier term", "LsLDP", 0.1),
         ):
             with self.subTest(case=case):
                 self.assertEqual([], Schedule(events, pause_s).play())
