Soak: late heartbeats, late calls, and workers that leave without draining

Change: 3 % of the heartbeats are on their way for 0.5 to 4 s, 3 % of the calls to workers get no answer and are executed 1 to 5 s later (`--late-share`), and workers leave by DELETE first, serve on for up to 9 s and come back as new instances.

--- a/pipitledge/cli/experiment.py
+++ b/pipitledge/cli/experiment.py
@@ -21,6 +21,7 @@
 Positive = Annotated[int, Parameter(validator=validators.Number(gt=0))]
 PositiveFigure = Annotated[float, Parameter(validator=validators.Number(gt=0))]
 
+Share = Annotated[float, Parameter(validator=validators.Number(gte=0, lt=1))]
 NotNegative = Annotated[int, Parameter(validator=validators.Number(gte=0))]
 
 app = cyclopts.App(name="pipitledge experiment", help="Days of trouble, and searches.", version=__version__)
@@ -161,6 +162,7 @@
     calls_per_s: PositiveFigure = 100.0,
     workers: Positive = 6,
     outage: bool = True,
+    late_share: Share = 0.03,
     logs: str = "",
 ) -> int:
     """Run the shipped programs as real processes on loopback, under stops, reloads and changes that overlap.
@@ -185,6 +187,8 @@
         Workers, each with an agent beside it; with five nodes they make up the processes of a run.
     outage:
         Whether the core is without a quorum for a while, with agents killed and a worker lost meanwhile.
+    late_share:
+        Part of the workers' heartbeats that come late, and of the calls to them that are executed late, unanswered.
     logs:
         Folder for settings, data and logs of each run; none by default. Runs that it has are not continued.
     """
@@ -194,7 +198,7 @@
     kept_runs = [seed for seed in range(first, first + count) if logs and (Path(logs) / str(seed)).exists()]
     if kept_runs:
         return _fail(f"{Path(logs) / str(kept_runs[0])}: a run with its data is there already", UNUSABLE)
-    load = Load(trouble_s, series_s, kept, calls_per_s, workers, outage)
+    load = Load(trouble_s, series_s, kept, calls_per_s, workers, outage, late_share)
     found = 0
     for verdict in play_seeds(range(first, first + count), load, jobs, logs):
         print(verdict, flush=True)
--- a/pipitledge/emulator/soak/plan.py
+++ b/pipitledge/emulator/soak/plan.py
@@ -33,6 +33,7 @@
     calls_per_s: float = 100.0
     workers: int = 6
     outage: bool = True  # whether the core is without a quorum for a while
+    late_share: float = 0.03  # of the workers' heartbeats, and of the calls to them, that come or are executed late
 
 
 class MachinePlan(Struct, frozen=True):
--- a/pipitledge/emulator/soak/planned_work.py
+++ b/pipitledge/emulator/soak/planned_work.py
@@ -11,10 +11,12 @@
 from pipitledge.emulator.soak.plan import SEEDS, MachinePlan, SoakPlan
 from pipitledge.emulator.soak.processes import MachineProcess
 from pipitledge.emulator.soak.record import Record
+from pipitledge.emulator.soak.workers import SocketWorkers
 
 STARTING_SECONDS = 3.0  # within which most stops leave a new process alone; reloads don't
 TERMINATE_EARLY_SHARE = 0.2  # of the stops that come while the process is still starting
 SERIES_SHARE = 0.4  # of the pauses that are left out, so that the next piece overlaps
+SERVE_ON_SECONDS = (0.5, 9.0)  # from the announced exit of a worker until its end
 CATCH_UP_SECONDS = 4.0  # that a counted node may take after its start; only one is out at a time
 
 
@@ -22,10 +24,16 @@
     """Draws what is done when."""
 
     def __init__(
-        self, plan: SoakPlan, processes: Mapping[str, MachineProcess], operator: Operator, record: Record
+        self,
+        plan: SoakPlan,
+        processes: Mapping[str, MachineProcess],
+        workers: SocketWorkers,
+        operator: Operator,
+        record: Record,
     ) -> None:
-        """Work on `processes`."""
+        """Work on `processes` and `workers`."""
         self._plan = plan
+        self._workers = workers
         self._processes = processes
         self._operator = operator
         self._record = record
@@ -45,13 +53,15 @@
         return [node.control_plane for node in random.sample(self._plan.nodes, SEEDS)]
 
     def _next(self) -> None:
-        pieces = (
+        pieces = [
             (5, self._stop_node),
             (1, self._stop_agent),
             (1, self._stop_again),
             (3, self._reload),
             (2, self._change),
-        )
+        ]
+        if self._plan.load.late_share > 0.0:
+            pieces.append((1, self._worker_leaves))
         weights = [weight for weight, _ in pieces]
         self._random.choices([piece for _, piece in pieces], weights)[0]()
 
@@ -100,5 +110,12 @@
         if process.reload():
             self._record.note(f"SIGHUP to {machine.name}, {state}")
 
+    def _worker_leaves(self) -> None:
+        """Have a worker announce its exit without draining first, and serve on for a while."""
+        node = self._random.choice(self._plan.agents).name
+        serves_on_s = self._random.uniform(*SERVE_ON_SECONDS)
+        self._workers.leave(node, serves_on_s)
+        self._record.note(f"worker {node} announces its exit, serves on for {serves_on_s:.1f} s")
+
     def _change(self) -> None:
         threading.Thread(target=self._operator.change, name="change", daemon=True).start()
--- a/pipitledge/emulator/soak/run.py
+++ b/pipitledge/emulator/soak/run.py
@@ -98,7 +98,7 @@
         outage = Outage(self.plan, self.processes, self._workers, self.record) if self.plan.load.outage else None
         if outage is not None:
             outage.start()
-        PlannedWork(self.plan, self.processes, self._operator, self.record).run()
+        PlannedWork(self.plan, self.processes, self._workers, self._operator, self.record).run()
         if outage is not None:
             outage.wait()
         self._wait_for_stops()
--- a/pipitledge/emulator/soak/workers.py
+++ b/pipitledge/emulator/soak/workers.py
@@ -23,6 +23,9 @@
 ANSWER_SECONDS = 5.0
 HEARTBEAT_TIMEOUT_SECONDS = 1.0
 MOST_POLLS = 16  # calls of its agent that one worker answers at once
+LATE_CALL_SECONDS = (1.0, 5.0)  # until a call that gets no answer is executed
+LATE_HEARTBEAT_SECONDS = (0.5, 4.0)  # that a heartbeat is on its way
+BACK_SECONDS = 1.0  # until a worker that has left is back as a new instance
 
 
 class RealWorld:
@@ -50,15 +53,23 @@
 class AgentOverHttp:
     """The agent's process as its worker calls it; has the two calls of `Agent` that a worker makes."""
 
-    def __init__(self, host: SerialExecutor, machine: MachinePlan, threads: CallThreadPool) -> None:
-        """Call the agent on `machine` on one of `threads`."""
+    def __init__(
+        self, host: SerialExecutor, machine: MachinePlan, threads: CallThreadPool, late_share: float, random: Random
+    ) -> None:
+        """Call the agent on `machine` on one of `threads`; `late_share` of the heartbeats are on their way for long."""
         self._executor = host
         self._machine = machine
         self._threads = threads
+        self._late_share = late_share
+        self._random = random
 
     def heartbeat(self, instance: str, body: bytes, answer: Callable[[int, bytes], None]) -> None:
         """Tell the agent of the worker."""
-        self._call("PUT", instance, body, answer)
+        if self._random.random() >= self._late_share:
+            self._call("PUT", instance, body, answer)
+            return
+        arrives_at = self._executor.now() + self._random.uniform(*LATE_HEARTBEAT_SECONDS)
+        self._executor.at(arrives_at, lambda: self._call("PUT", instance, body, answer))
 
     def leave(self, instance: str, answer: Callable[[int, bytes], None]) -> None:
         """Tell the agent that the worker leaves."""
@@ -99,10 +110,11 @@
         self._servers: list[HttpServer] = []
         for machine, worker_plan in zip(plan.agents, plan.deployment.workers, strict=True):
             worker = ModelWorker(world, worker_plan, False, bounds, onlooker, gangs)
-            agent = cast(Agent, AgentOverHttp(host, machine, self._threads))
+            over_http = AgentOverHttp(host, machine, self._threads, plan.load.late_share, world.random)
+            agent = cast(Agent, over_http)
             worker.agent = _always(agent)
             self.workers.append(worker)
-            self._servers.append(self._server(machine, worker))
+            self._servers.append(self._server(machine, worker, plan.load.late_share))
 
     def start(self) -> None:
         """Listen."""
@@ -117,8 +129,26 @@
         if back_after_s is None:
             self._servers[index].stop()
 
-    def _server(self, machine: MachinePlan, worker: ModelWorker) -> HttpServer:
-        exchange = HandlerExchange(self._executor, _handler(worker), ANSWER_SECONDS, "worker call")
+    def leave(self, node: str, serves_on_s: float) -> None:
+        """Announce the exit of that worker at once; it serves on, ends, and comes back as a new instance."""
+        worker = next(worker for worker in self.workers if worker.node == node)
+        self._executor.run(lambda: self._leave(worker, serves_on_s), "leave")
+
+    def _leave(self, worker: ModelWorker, serves_on_s: float) -> None:
+        agent, life = worker.agent(), worker.life
+        if agent is None or not worker.up:
+            return
+
+        def end() -> None:
+            if worker.life is life and worker.up:
+                worker.crash(BACK_SECONDS)
+
+        agent.leave(life.instance, lambda status, body: None)
+        self._executor.at(self._executor.now() + serves_on_s, end)
+
+    def _server(self, machine: MachinePlan, worker: ModelWorker, late_share: float) -> HttpServer:
+        handler = _handler(worker, late_share)
+        exchange = HandlerExchange(self._executor, handler, ANSWER_SECONDS, "worker call")
         options = ServerOptions(f"worker {machine.name}", threads=2, max_threads=MOST_POLLS)
         return HttpServer(machine.ip, WORKER_PORT, exchange, options, logs.get("soak"))
 
@@ -127,8 +157,8 @@
     return lambda: agent
 
 
-def _handler(worker: ModelWorker) -> Callable[[HttpRequest, Respond], None]:
-    """The agent's calls at a worker."""
+def _handler(worker: ModelWorker, late_share: float) -> Callable[[HttpRequest, Respond], None]:
+    """The agent's calls at a worker; `late_share` of them get no answer and are executed late."""
 
     def handle(request: HttpRequest, respond: Respond) -> None:
         def answer(status: int, content: dict[str, Any]) -> None:
@@ -136,6 +166,11 @@
 
         kind = request.path.rpartition("/")[2]
         instance = request.headers.get(INSTANCE_HEADER.lower(), "")
-        worker.take(kind, json.loads(request.body), instance, answer)
+        body = json.loads(request.body)
+        if worker.world.random.random() >= late_share:
+            worker.take(kind, body, instance, answer)
+            return
+        late_s = worker.world.random.uniform(*LATE_CALL_SECONDS)
+        worker.world.after(late_s, lambda: worker.take_late(kind, body, instance))
 
     return handle
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -14,6 +14,7 @@
 import threading
 import unittest
 from pathlib import Path
+from random import Random
 from unittest import mock
 
 from pipitledge.cli import experiment as cli
@@ -27,6 +28,7 @@
 from pipitledge.emulator.soak.processes import ROOT, MachineProcess, ProcessEnd
 from pipitledge.emulator.soak.record import HUNG_UP, TERMINATED, Finding, Record
 from pipitledge.emulator.soak.run import SoakVerdict, play_seeds
+from pipitledge.emulator.soak.workers import AgentOverHttp, _handler
 from pipitledge.runtime.settings import Settings, parse
 from tests.system.runtime_case import WAIT_SECONDS
 
@@ -401,6 +403,42 @@
             self.assertGreater(verdict.accepted, 0)
 
 
+class LateWorkerTest(unittest.TestCase):
+    """Calls and heartbeats of workers that come late."""
+
+    def handle(self, late_share: float) -> tuple[mock.Mock, list[object]]:
+        worker = mock.Mock(world=mock.Mock(random=Random(1)))
+        answers: list[object] = []
+        request = mock.Mock(path="/pipitledge/hold", headers={}, body=b'{"fenceToken":1}')
+        _handler(worker, late_share)(request, answers.append)
+        return worker, answers
+
+    def test_a_late_call_gets_no_answer_and_is_executed_afterwards(self) -> None:
+        worker, answers = self.handle(late_share=1.0)
+        worker.take.assert_not_called()
+        (late_s, execute), _ = worker.world.after.call_args
+        self.assertGreaterEqual(late_s, 1.0)
+        execute()
+        worker.take_late.assert_called_once_with("hold", {"fenceToken": 1}, "")
+        self.assertEqual([], answers)
+
+    def test_another_call_is_executed_at_once(self) -> None:
+        worker, _ = self.handle(late_share=0.0)
+        worker.take.assert_called_once()
+        worker.world.after.assert_not_called()
+
+    def test_a_late_heartbeat_is_sent_later(self) -> None:
+        executor = mock.Mock()
+        executor.now.return_value = 100.0
+        for late_share, timers in ((0.0, 0), (1.0, 1)):
+            executor.at.reset_mock()
+            threads = mock.Mock()
+            agent = AgentOverHttp(executor, draw_plan(1, Load()).agents[0], threads, late_share, Random(1))
+            agent.heartbeat("i-1", b"{}", mock.Mock())
+            self.assertEqual(timers, executor.at.call_count)
+            self.assertEqual(1 - timers, threads.submit.call_count)
+
+
 class CommandTest(unittest.TestCase):
     """`pipitledge experiment soak`."""
 
